--- /dev/null
+++ b/src/proxy/client.rs
@@ -0,0 +1,651 @@
+//! Clients: the listener, their connections, and answers in the order of the commands.
+
+use super::config::Config;
+use super::resp::{Command, CommandParser, Room, LONG_VALUE};
+use calicosaddle::api::{server_id, Effect, Nanos, RequestId};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Interest, Registry, Token};
+use slab::Slab;
+use std::collections::VecDeque;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::ops::Range;
+use std::rc::Rc;
+
+const MS: Nanos = 1_000_000;
+/// The answer of a request that failed: nothing is promised.
+pub const FAILED: &[u8] = b"-ERR failed\r\n";
+/// A refusal: trying again is harmless.
+pub const BUSY: &[u8] = b"-BUSY\r\n";
+/// Commands that a connection may have open; more are refused.
+const MAX_PIPELINE: usize = 128;
+/// Answers waiting behind others, and commands refused past `MAX_PIPELINE`: over so many the client is not
+/// reading, and is let go.
+const MAX_SLOTS: usize = 8 * MAX_PIPELINE;
+/// Over this a connection's unread answers hold up the cache node that a long value comes from.
+const HIGH: usize = 4 * LONG_VALUE;
+/// A client may take 2 s to write a command; one that takes far longer is let go, and so is one that reads
+/// nothing of its answers for so long.
+const STALLED: Nanos = 5_000 * MS;
+/// After the last answer, the time that a client has to close its side.
+const LINGER: Nanos = 250 * MS;
+/// Reads of one connection before others have their turn.
+const READS: usize = 4;
+/// Connections accepted before others have their turn.
+const ACCEPTS: usize = 64;
+/// No client waits longer than this, whatever it says.
+const LONGEST_WAIT: u64 = 600_000;
+
+/// A read or write as the client sent it.
+#[derive(Debug)]
+pub struct Query {
+    command: Command,
+    /// Where the value of `d` stands in the fourth argument.
+    wait_at: Range<usize>,
+    /// Its class, by number.
+    pub class: u32,
+    /// Its tenant, by number.
+    pub tenant: Option<u32>,
+    /// Its key.
+    pub key: u64,
+    /// It writes.
+    pub write: bool,
+    /// How long the client waits.
+    pub wait: Nanos,
+    /// The work to expect, where told.
+    pub hint: Option<Nanos>,
+    /// The client's repeat, where marked.
+    pub repeat: bool,
+}
+
+impl Query {
+    fn read(command: Command, config: &Config) -> Result<Query, &'static str> {
+        let write = command.arg(0).eq_ignore_ascii_case(b"CACHE.SET");
+        if command.len() != if write { 5 } else { 4 } {
+            return Err("-ERR wrong number of arguments\r\n");
+        }
+        let fields = std::str::from_utf8(command.arg(3)).map_err(|_| "-ERR fields are not text\r\n")?;
+        let (mut class, mut tenant, mut wait, mut key, mut hint, mut repeat) =
+            (None, None, None, false, None, false);
+        let mut at = 0;
+        for field in fields.split(',') {
+            let (name, value) = field.split_once('=').ok_or("-ERR a field has no value\r\n")?;
+            match name {
+                "c" => class = config.classes.iter().position(|c| c == value),
+                "t" => tenant = config.tenants.iter().position(|t| t == value).map(|t| t as u32),
+                "d" => {
+                    let ms: u64 = value.parse().map_err(|_| "-ERR d is not a number\r\n")?;
+                    wait = Some((ms.min(LONGEST_WAIT) * MS, at + 2..at + field.len()));
+                }
+                "k" => key = !value.is_empty(),
+                "r" => repeat = value == "1",
+                "h" => hint = value.parse::<u64>().ok().map(|us| us.saturating_mul(1_000)),
+                _ => {}
+            }
+            at += field.len() + 1;
+        }
+        let class = class.ok_or("-ERR unknown class\r\n")?;
+        let (wait, wait_at) = wait.ok_or("-ERR d is missing\r\n")?;
+        // Danger: cache nodes know a repeat by its key; a keyed write without one could run twice.
+        let keyed = config.settings.classes.get(class).is_some_and(|c| c.effect == Effect::Keyed);
+        if keyed && !key {
+            return Err("-ERR k is missing\r\n");
+        }
+        let name = std::str::from_utf8(command.arg(1)).unwrap_or_default();
+        let hex = if name.len() <= 16 { u64::from_str_radix(name, 16).ok() } else { None };
+        let key = hex.unwrap_or_else(|| server_id(&String::from_utf8_lossy(command.arg(1))));
+        let class = class as u32;
+        Ok(Query { wait_at, class, tenant, key, write, wait, hint, repeat, command })
+    }
+
+    /// Writes the command for a cache node, but for a write's value, with the time that the proxy will wait.
+    pub fn encode(&self, ms: u64, out: &mut Vec<u8>) {
+        // Writing to a vector cannot fail.
+        let _ = write!(out, "*{}\r\n", self.command.len());
+        for i in 0..3 {
+            let arg = self.command.arg(i);
+            let _ = write!(out, "${}\r\n", arg.len());
+            out.extend_from_slice(arg);
+            out.extend_from_slice(b"\r\n");
+        }
+        let fields = self.command.arg(3);
+        let (before, after) = (&fields[..self.wait_at.start], &fields[self.wait_at.end..]);
+        let digits = ms.checked_ilog10().unwrap_or(0) as usize + 1;
+        let _ = write!(out, "${}\r\n", before.len() + digits + after.len());
+        out.extend_from_slice(before);
+        let _ = write!(out, "{ms}");
+        out.extend_from_slice(after);
+        out.extend_from_slice(b"\r\n");
+        if self.write {
+            let _ = write!(out, "${}\r\n", self.value().len());
+        }
+    }
+
+    /// A write's value.
+    pub fn value(&self) -> &[u8] {
+        self.command.arg(4)
+    }
+}
+
+/// A request's place on a client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The connection.
+    pub client: usize,
+    /// Which of its commands.
+    number: u64,
+}
+
+/// What clients did.
+#[derive(Debug)]
+pub enum News {
+    /// A request is to be answered.
+    Query(RequestId, Place, Rc<Query>),
+    /// The client ended its sending and has this request open. It may still read: what is under way may be
+    /// answered, nothing new may be sent.
+    Left(RequestId),
+    /// The connection is gone, and nothing can be answered on it.
+    Gone(RequestId),
+}
+
+#[derive(Debug)]
+enum Slot {
+    Waiting(RequestId),
+    Ready(Vec<u8>),
+    /// A long value that comes from a connection to a cache node; what of it waits for answers before it.
+    Long {
+        id: RequestId,
+        from: usize,
+        held: Vec<u8>,
+        done: bool,
+    },
+}
+
+#[derive(Debug)]
+struct Client {
+    stream: TcpStream,
+    parser: CommandParser,
+    /// The commands not yet answered in full; the first has this number.
+    slots: VecDeque<Slot>,
+    first: u64,
+    out: Vec<u8>,
+    written: usize,
+    dirty: bool,
+    /// When a command began of which more is to come.
+    midway_since: Option<Nanos>,
+    /// When it last sent anything, or took anything of its answers.
+    moved: Nanos,
+    /// It ended its sending.
+    eof: bool,
+    /// It is let go once all it is owed is written.
+    closing: bool,
+    /// All is written and our side closed; its input is read to keep a reset from overtaking the answers.
+    lingering: Option<Nanos>,
+}
+
+impl Client {
+    fn backlog(&self) -> usize {
+        self.out.len() - self.written
+    }
+
+    fn idle(&self) -> bool {
+        self.slots.is_empty() && self.backlog() == 0 && !self.parser.midway()
+    }
+}
+
+/// All clients of this proxy.
+#[derive(Debug)]
+pub struct Clients {
+    listener: Option<TcpListener>,
+    all: Slab<Client>,
+    next_id: RequestId,
+    limit: usize,
+    room: Room,
+    /// Bytes of answers that clients have yet to read, and how many there may be.
+    backlog: usize,
+    max_backlog: usize,
+    /// The listener may have more.
+    accepting: bool,
+    /// New requests are still taken, but each connection is closed after its answers.
+    stopping: bool,
+    dirty: Vec<usize>,
+    /// Connections that may have more input.
+    again: Vec<usize>,
+    /// Connections to cache nodes that may go on with a long value.
+    resume: Vec<usize>,
+    news: VecDeque<News>,
+}
+
+impl Clients {
+    /// Listens at `address` for at most `limit` connections; `memory` bytes each for long values of commands
+    /// and for answers not yet read.
+    pub fn listen(address: SocketAddr, limit: usize, memory: usize) -> io::Result<Self> {
+        let socket =
+            socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
+        // Danger: after a crash old connections keep the address for a minute.
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(1024)?;
+        Ok(Clients {
+            listener: Some(TcpListener::from_std(socket.into())),
+            all: Slab::new(),
+            next_id: 1,
+            limit,
+            room: Room::new(memory),
+            backlog: 0,
+            max_backlog: memory,
+            accepting: false,
+            stopping: false,
+            dirty: Vec::new(),
+            again: Vec::new(),
+            resume: Vec::new(),
+            news: VecDeque::new(),
+        })
+    }
+
+    /// Registers the listener.
+    pub fn register(&mut self, registry: &Registry, token: Token) -> io::Result<()> {
+        match &mut self.listener {
+            Some(listener) => registry.register(listener, token, Interest::READABLE),
+            None => Ok(()),
+        }
+    }
+
+    /// The next thing that a client did.
+    pub fn news(&mut self) -> Option<News> {
+        self.news.pop_front()
+    }
+
+    /// A connection to a cache node that may go on with its long value.
+    pub fn resume(&mut self) -> Option<usize> {
+        self.resume.pop()
+    }
+
+    /// True if some socket may have more without saying so again.
+    pub fn has_more(&self) -> bool {
+        !self.again.is_empty() || (self.accepting && self.has_place())
+    }
+
+    fn has_place(&self) -> bool {
+        self.all.len() < self.limit || self.all.iter().any(|(_, c)| c.idle())
+    }
+
+    /// Notes that the listener has connections.
+    pub fn knocked(&mut self) {
+        self.accepting = true;
+    }
+
+    /// Accepts what waits, up to a bound. An error means that descriptors or memory ran out.
+    pub fn accept(
+        &mut self,
+        registry: &Registry,
+        now: Nanos,
+        token: impl Fn(usize) -> Token,
+    ) -> io::Result<()> {
+        for _ in 0..ACCEPTS {
+            // Where all have requests open, the kernel keeps a newcomer until one ends.
+            if !self.accepting || !self.has_place() {
+                return Ok(());
+            }
+            let Some(listener) = &self.listener else { return Ok(()) };
+            let mut stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.accepting = false;
+                    return Ok(());
+                }
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
+                {
+                    continue
+                }
+                Err(e) => {
+                    self.accepting = false;
+                    return Err(e);
+                }
+            };
+            let _ = stream.set_nodelay(true);
+            if self.all.len() >= self.limit {
+                self.evict();
+            }
+            let entry = self.all.vacant_entry();
+            let key = entry.key();
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            if let Err(e) = registry.register(&mut stream, token(key), interest) {
+                self.accepting = false;
+                return Err(e);
+            }
+            entry.insert(Client {
+                stream,
+                parser: CommandParser::new(self.room.clone()),
+                slots: VecDeque::new(),
+                first: 0,
+                out: Vec::new(),
+                written: 0,
+                dirty: false,
+                midway_since: None,
+                moved: now,
+                eof: false,
+                closing: false,
+                lingering: None,
+            });
+        }
+        Ok(())
+    }
+
+    /// Closes the connection that was idle longest, between requests, to make room.
+    fn evict(&mut self) {
+        let idle = self.all.iter().filter(|(_, c)| c.idle()).min_by_key(|(_, c)| c.moved);
+        if let Some((key, _)) = idle {
+            self.all.remove(key);
+        }
+    }
+
+    /// Connections to read on with.
+    pub fn take_again(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.again)
+    }
+
+    /// Reads what a connection has, up to a bound.
+    pub fn read(&mut self, key: usize, closed: bool, config: &Config, buffer: &mut [u8], now: Nanos) {
+        for _ in 0..READS {
+            let Some(client) = self.all.get_mut(key).filter(|c| !c.eof) else { return };
+            match client.stream.read(buffer) {
+                Ok(0) => {
+                    client.eof = true;
+                    self.left(key);
+                    return;
+                }
+                Ok(n) => {
+                    client.moved = now;
+                    if client.lingering.is_none() && !client.closing {
+                        self.input(key, &buffer[..n], config, now);
+                    }
+                    // A short read emptied the socket; only an end of the stream may stand behind it.
+                    if n < buffer.len() && !closed {
+                        return;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.remove(key);
+                    return;
+                }
+            }
+        }
+        self.again.push(key);
+    }
+
+    fn left(&mut self, key: usize) {
+        let Some(client) = self.all.get(key) else { return };
+        if client.slots.is_empty() && client.backlog() == 0 {
+            self.remove(key);
+            return;
+        }
+        for slot in &client.slots {
+            if let Slot::Waiting(id) = slot {
+                self.news.push_back(News::Left(*id));
+            }
+        }
+    }
+
+    fn input(&mut self, key: usize, mut input: &[u8], config: &Config, now: Nanos) {
+        while !input.is_empty() {
+            let Some(client) = self.all.get_mut(key) else { return };
+            match client.parser.feed(input) {
+                Ok((used, command)) => {
+                    input = &input[used..];
+                    client.midway_since = match command {
+                        None if client.parser.midway() => client.midway_since.or(Some(now)),
+                        _ => None,
+                    };
+                    if let Some(command) = command {
+                        self.command(key, command, config);
+                    }
+                }
+                Err(e) => {
+                    let error = format!("-ERR Protocol error: {}\r\n", e.0);
+                    client.closing = true;
+                    self.reply_next(key, error.as_bytes());
+                    return;
+                }
+            }
+        }
+    }
+
+    fn command(&mut self, key: usize, command: Command, config: &Config) {
+        let Some(client) = self.all.get_mut(key) else { return };
+        let name = command.arg(0);
+        let query = name.eq_ignore_ascii_case(b"CACHE.GET") || name.eq_ignore_ascii_case(b"CACHE.SET");
+        if !query {
+            let answer: &[u8] = match name {
+                n if n.eq_ignore_ascii_case(b"PING") => b"+PONG\r\n",
+                n if n.eq_ignore_ascii_case(b"CLIENT") || n.eq_ignore_ascii_case(b"SELECT") => b"+OK\r\n",
+                n if n.eq_ignore_ascii_case(b"QUIT") => {
+                    client.closing = true;
+                    b"+OK\r\n"
+                }
+                _ => b"-ERR unknown command\r\n",
+            };
+            self.reply_next(key, answer);
+            return;
+        }
+        // Untouched, it may always be refused.
+        if !command.is_whole() || client.slots.len() >= MAX_PIPELINE {
+            self.reply_next(key, BUSY);
+            return;
+        }
+        match Query::read(command, config) {
+            Ok(query) => {
+                let place = Place { client: key, number: client.first + client.slots.len() as u64 };
+                let id = self.next_id;
+                self.next_id += 1;
+                client.slots.push_back(Slot::Waiting(id));
+                self.news.push_back(News::Query(id, place, Rc::new(query)));
+            }
+            Err(answer) => self.reply_next(key, answer.as_bytes()),
+        }
+    }
+
+    /// Answers the command that was read last, at once.
+    fn reply_next(&mut self, key: usize, answer: &[u8]) {
+        let Some(client) = self.all.get_mut(key) else { return };
+        if client.slots.len() >= MAX_SLOTS {
+            self.remove(key);
+            return;
+        }
+        client.slots.push_back(Slot::Ready(answer.to_vec()));
+        self.advance(key);
+    }
+
+    fn slot(&mut self, place: Place) -> Option<(&mut Client, usize)> {
+        let client = self.all.get_mut(place.client)?;
+        let at = place.number.checked_sub(client.first)? as usize;
+        (at < client.slots.len()).then_some((client, at))
+    }
+
+    /// Gives a request's whole answer.
+    pub fn answer(&mut self, place: Place, answer: &[u8]) {
+        let Some((client, at)) = self.slot(place) else { return };
+        if at == 0 {
+            client.out.extend_from_slice(answer);
+            client.slots.pop_front();
+            client.first += 1;
+            self.backlog += answer.len();
+        } else {
+            client.slots[at] = Slot::Ready(answer.to_vec());
+        }
+        self.advance(place.client);
+    }
+
+    /// Begins to pass on a long value.
+    pub fn begin(&mut self, place: Place, id: RequestId, from: usize) {
+        if let Some((client, at)) = self.slot(place) {
+            client.slots[at] = Slot::Long { id, from, held: Vec::new(), done: false };
+        }
+    }
+
+    /// Passes on a part of a long value, perhaps the last. False if the cache node should pause.
+    pub fn pass(&mut self, place: Place, part: &[u8], last: bool) -> bool {
+        let Some((client, at)) = self.slot(place) else { return true };
+        if let Slot::Long { held, done, .. } = &mut client.slots[at] {
+            held.extend_from_slice(part);
+            *done = last;
+        }
+        self.advance(place.client);
+        self.all.get(place.client).is_none_or(|client| {
+            let held = match client.slots.get(at) {
+                Some(Slot::Long { held, .. }) => held.len(),
+                _ => 0,
+            };
+            client.backlog() + held < HIGH
+        })
+    }
+
+    /// Gives up a long value that broke off. Danger: with anything more on the connection, the client could
+    /// take what follows for the rest of the value; the end of the connection shows that it is not whole.
+    pub fn break_off(&mut self, place: Place) {
+        self.remove(place.client);
+    }
+
+    /// Moves what can go out in order to the output.
+    fn advance(&mut self, key: usize) {
+        let Some(client) = self.all.get_mut(key) else { return };
+        loop {
+            match client.slots.front_mut() {
+                Some(Slot::Ready(answer)) => {
+                    self.backlog += answer.len();
+                    client.out.append(answer);
+                }
+                Some(Slot::Long { held, done, .. }) => {
+                    self.backlog += held.len();
+                    client.out.append(held);
+                    if !*done {
+                        break;
+                    }
+                }
+                Some(Slot::Waiting(_)) | None => break,
+            }
+            client.slots.pop_front();
+            client.first += 1;
+        }
+        // Danger: clients that ask and do not read would fill the memory with answers.
+        if self.backlog > self.max_backlog && client.backlog() > HIGH {
+            self.remove(key);
+        } else if !client.dirty {
+            client.dirty = true;
+            self.dirty.push(key);
+        }
+    }
+
+    /// Writes what answers there are, each connection once.
+    pub fn flush_all(&mut self, now: Nanos) {
+        while let Some(key) = self.dirty.pop() {
+            self.flush(key, now);
+        }
+    }
+
+    /// Writes what a connection will take.
+    pub fn flush(&mut self, key: usize, now: Nanos) {
+        let Some(client) = self.all.get_mut(key) else { return };
+        client.dirty = false;
+        while client.written < client.out.len() {
+            match client.stream.write(&client.out[client.written..]) {
+                Ok(n) => {
+                    client.written += n;
+                    self.backlog = self.backlog.saturating_sub(n);
+                    client.moved = now;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.remove(key);
+                    return;
+                }
+            }
+        }
+        if client.written == client.out.len() {
+            client.out.clear();
+            client.out.shrink_to(LONG_VALUE);
+            client.written = 0;
+        } else if client.written > HIGH {
+            client.out.drain(..client.written);
+            client.written = 0;
+        }
+        if client.backlog() < HIGH {
+            if let Some(Slot::Long { from, .. }) = client.slots.front() {
+                self.resume.push(*from);
+            }
+        }
+        if client.slots.is_empty() && client.backlog() == 0 {
+            if client.eof {
+                self.remove(key);
+            } else if client.closing || (self.stopping && !client.parser.midway()) {
+                self.linger(key, now);
+            }
+        }
+    }
+
+    /// Closes our side, between requests, and waits a moment for the client to close its own.
+    fn linger(&mut self, key: usize, now: Nanos) {
+        let Some(client) = self.all.get_mut(key).filter(|c| c.lingering.is_none()) else { return };
+        client.lingering = Some(now);
+        if client.stream.shutdown(Shutdown::Write).is_err() {
+            self.remove(key);
+        }
+    }
+
+    /// Ends a connection; what it had open can't be answered any more.
+    fn remove(&mut self, key: usize) {
+        let Some(client) = self.all.try_remove(key) else { return };
+        self.backlog = self.backlog.saturating_sub(client.backlog());
+        for slot in client.slots {
+            match slot {
+                Slot::Waiting(id) | Slot::Long { id, .. } => self.news.push_back(News::Gone(id)),
+                Slot::Ready(_) => {}
+            }
+        }
+    }
+
+    /// Ends what has waited too long.
+    pub fn sweep(&mut self, now: Nanos) {
+        let since = |at: Nanos, most: Nanos| now.saturating_sub(at) > most;
+        let (mut gone, mut slow) = (Vec::new(), Vec::new());
+        for (key, c) in &self.all {
+            if (c.backlog() > 0 && since(c.moved, STALLED)) || c.lingering.is_some_and(|at| since(at, LINGER))
+            {
+                gone.push(key);
+            } else if !c.closing && c.midway_since.is_some_and(|at| since(at, STALLED)) {
+                slow.push(key);
+            }
+        }
+        gone.into_iter().for_each(|key| self.remove(key));
+        for key in slow {
+            if let Some(client) = self.all.get_mut(key) {
+                client.closing = true;
+            }
+            self.reply_next(key, b"-ERR Protocol error: the command took too long\r\n");
+        }
+    }
+
+    /// Ends the service to clients: nothing more is accepted, and each connection is closed between requests.
+    pub fn stop(&mut self, config: &Config, buffer: &mut [u8], now: Nanos) {
+        self.listener = None;
+        self.stopping = true;
+        let keys: Vec<usize> = self.all.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            // What has come already is still taken.
+            self.read(key, true, config, buffer, now);
+            if self.all.get(key).is_some_and(Client::idle) {
+                self.linger(key, now);
+            }
+        }
+    }
+
+    /// True once no client is left.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+}
--- /dev/null
+++ b/src/proxy/config.rs
@@ -0,0 +1,209 @@
+//! What a proxy is told at its start: NODE_CONFIG, and the variables that repeat parts of it.
+
+use super::discovery::{self, Names, News};
+use calicosaddle::api::{Nanos, Settings};
+use calicosaddle::wire;
+use serde_json::Value;
+use std::fmt;
+use std::net::SocketAddr;
+
+const MS: Nanos = 1_000_000;
+
+/// Why a proxy can't start with what it was told.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// A variable is needed and not set.
+    Missing(&'static str),
+    /// The configuration file can't be read.
+    Unreadable(String, std::io::Error),
+    /// It is not JSON.
+    Json(serde_json::Error),
+    /// A part of it is missing or makes no sense.
+    Bad(String),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            ConfigError::Missing(what) => write!(f, "{what} is not set"),
+            ConfigError::Unreadable(path, e) => write!(f, "{path} can't be read: {e}"),
+            ConfigError::Json(e) => write!(f, "the configuration is not JSON: {e}"),
+            ConfigError::Bad(what) => write!(f, "the configuration is wrong: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// The configuration of a proxy.
+#[derive(Debug)]
+pub struct Config {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// The module's source of chance.
+    pub seed: u64,
+    /// Over this the proxy is killed.
+    pub memory_mb: u64,
+    /// File descriptors that it may hold.
+    pub sockets: usize,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names of classes, as clients give them.
+    pub classes: Vec<String>,
+    /// Names of tenants.
+    pub tenants: Vec<String>,
+    /// Names that discovery uses.
+    pub names: Names,
+    /// Columns of load reports, as cache nodes name them.
+    pub columns: Vec<String>,
+    /// Requests that may be open at once.
+    pub max_open: usize,
+    /// Requests that a connection to a cache node carries at once.
+    pub streams: usize,
+    /// A cache node closes a connection that was idle for so long.
+    pub idle: Nanos,
+    /// The longest time that a client waits.
+    pub longest: Nanos,
+    /// The list as this proxy last had it.
+    pub known: Option<News>,
+}
+
+impl Config {
+    /// Reads the file that NODE_CONFIG names; NODE_LISTEN and NODE_DISCOVERY stand in for what it lacks.
+    pub fn from_env() -> Result<Config, ConfigError> {
+        let path = std::env::var("NODE_CONFIG").map_err(|_| ConfigError::Missing("NODE_CONFIG"))?;
+        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
+        Config::parse(&text, |name| std::env::var(name).ok())
+    }
+
+    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let json: Value = serde_json::from_str(text).map_err(ConfigError::Json)?;
+        let address = |key: &str, name: &'static str| {
+            let told = json[key].as_str().map(str::to_owned).or_else(|| variable(name));
+            let told = told.ok_or(ConfigError::Missing(name))?;
+            told.parse().map_err(|_| ConfigError::Bad(format!("{key} is no address: {told:?}")))
+        };
+        let Some(told) = json["settings"].as_object() else {
+            return Err(ConfigError::Bad("settings are missing".into()));
+        };
+        let told = Value::Object(told.clone());
+        let mut pairs = Vec::new();
+        flatten("", &told, &mut pairs);
+        let settings = wire::settings(pairs.iter().map(String::as_str)).map_err(ConfigError::Bad)?;
+        if settings.classes.is_empty() {
+            return Err(ConfigError::Bad("settings.categories are missing".into()));
+        }
+        let seed = json["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
+        let names = Names { zones: strings(&told["localities"]), kinds: strings(&told["machine_types"]) };
+        let known = match &json["known"] {
+            Value::Null => None,
+            list => {
+                let news = discovery::read_list(list, &names);
+                Some(news.map_err(|e| ConfigError::Bad(format!("known: {e}")))?)
+            }
+        };
+        let limit = |key: &str, default: u64| json["limits"][key].as_u64().unwrap_or(default);
+        let cap = |key: &str| told["caps"][key].as_u64();
+        Ok(Config {
+            listen: address("listen", "NODE_LISTEN")?,
+            discovery: address("discovery", "NODE_DISCOVERY")?,
+            seed: seed.ok_or_else(|| ConfigError::Bad("seed is missing or not hex".into()))?,
+            memory_mb: limit("memory_mb", 128),
+            sockets: limit("sockets", 1024) as usize,
+            classes: named(&told["categories"]),
+            tenants: named(&told["customers"]),
+            names,
+            columns: strings(&told["report"]["columns"]),
+            max_open: cap("max_open").unwrap_or(20_000) as usize,
+            streams: cap("streams_per_conn").unwrap_or(1).max(1) as usize,
+            idle: cap("conn_idle_ns").unwrap_or(5_000 * MS),
+            longest: settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0),
+            settings,
+            known,
+        })
+    }
+}
+
+fn strings(list: &Value) -> Vec<String> {
+    let list = list.as_array().map(Vec::as_slice).unwrap_or_default();
+    list.iter().map(|v| v.as_str().unwrap_or_default().to_owned()).collect()
+}
+
+fn named(list: &Value) -> Vec<String> {
+    let list = list.as_array().map(Vec::as_slice).unwrap_or_default();
+    list.iter().map(|v| v["name"].as_str().unwrap_or_default().to_owned()).collect()
+}
+
+/// Writes settings as the `path=value` pairs of the simulator's wire, so that one parser reads both.
+fn flatten(path: &str, value: &Value, pairs: &mut Vec<String>) {
+    let below = |step: &str| if path.is_empty() { step.to_owned() } else { format!("{path}.{step}") };
+    match value {
+        Value::Null => {}
+        Value::Object(fields) => fields.iter().for_each(|(k, v)| flatten(&below(k), v, pairs)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            pairs.push(format!("{}={}", below("count"), items.len()));
+            items.iter().enumerate().for_each(|(i, v)| flatten(&below(&i.to_string()), v, pairs));
+        }
+        Value::Array(items) => {
+            let items: Vec<String> = items.iter().map(plain).collect();
+            pairs.push(format!("{path}={}", items.join(",")));
+        }
+        value => pairs.push(format!("{path}={}", plain(value))),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(s) => s.replace([' ', ','], "_"),
+        value => value.to_string(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
+        "limits":{"cores":0.5,"memory_mb":128,"sockets":1024},
+        "known":{"seq":41,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:3","site":"b","class":"m2",
+            "block":3,"health":"up","share":1.5,"born_ms":12,"new":[]}]},
+        "settings":{"localities":["a","b"],"machine_types":["m1","m2"],"report":{"columns":["load_share"]},
+            "caps":{"attempts_cap":5,"conn_idle_ns":4000000000,"probing":true},"discovery":"subscribe",
+            "categories":[{"name":"read","deadline_ns":750000000,"effect":"safe","value":1.0},
+                {"name":"put","deadline_ns":1000000000,"effect":"keyed","group":"all"}]}}"#;
+
+    #[test]
+    fn settings_reach_the_module_through_its_own_parser() {
+        let c = Config::parse(GOOD, |_| None).expect("good");
+        assert_eq!((c.settings.classes.len(), c.settings.max_attempts, c.settings.must_ask), (2, 5, true));
+        assert!(c.settings.probe && c.settings.report.len() == 1);
+        assert_eq!((c.longest, c.idle, c.seed), (1_000 * MS, 4_000 * MS, 0x8c1f_30d2_7a5b_e964));
+        assert_eq!(c.classes, ["read", "put"]);
+        let known = c.known.expect("known");
+        let host = &known.hosts[0];
+        assert_eq!(
+            (known.version, host.entry.zone, host.entry.kind, host.entry.started),
+            (41, 1, 1, 12 * MS)
+        );
+    }
+
+    #[test]
+    fn what_is_missing_or_wrong_is_named() {
+        for (from, to, named) in [
+            ("\"listen\":\"127.0.0.1:1\",", "", "NODE_LISTEN"),
+            ("127.0.0.1:2", "nowhere", "discovery is no address"),
+            ("\"effect\":\"safe\",\"value\":1.0", "\"value\":\"much\"", "categories.0.value"),
+            ("8c1f30d27a5be964", "zz", "seed"),
+            ("\"health\":\"up\"", "\"health\":\"odd\"", "known: "),
+            ("\"settings\"", "\"unsettled\"", "settings are missing"),
+            ("\"limits\"", "limits", "not JSON"),
+        ] {
+            let text = GOOD.replacen(from, to, 1);
+            assert_ne!(text, GOOD);
+            let error = Config::parse(&text, |_| None).map(|_| ()).expect_err(named).to_string();
+            assert!(error.contains(named), "{error}");
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/discovery.rs
@@ -0,0 +1,404 @@
+//! Discovery over HTTP: the whole list once, or a watch that goes on from call to call.
+//!
+//! Each call has a connection and a deadline of its own. Whatever goes wrong with one, a list that can't be
+//! understood too, ends in [`Answer::Failed`]: the old list stands, and the module asks again when it sees fit.
+
+use calicosaddle::api::{server_id, Entry, Nanos, State};
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use serde_json::Value;
+use std::fmt;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+
+const MS: Nanos = 1_000_000;
+/// How long a call of a watch waits for news. News of a call that hangs counts as told 2 s after its wait:
+/// a short wait finds that out sooner, a long one spares discovery calls.
+const WAIT: Nanos = 10_000 * MS;
+/// A call that doesn't wait, and the answer of one that does, take no longer than this.
+const PATIENCE: Nanos = 1_500 * MS;
+/// The longest head of an answer, and the longest body.
+const MAX_HEAD: usize = 16 << 10;
+const MAX_BODY: usize = 8 << 20;
+/// The longest line that tells a chunk's size.
+const MAX_CHUNK_LINE: usize = 256;
+
+/// The names that stand in lists for zones and machine kinds, in the order of the settings.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Machine kinds.
+    pub kinds: Vec<String>,
+}
+
+/// A cache node in a list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Host {
+    /// What the module is told of it.
+    pub entry: Entry,
+    /// Where it is; a removed one may have no address.
+    pub dial: Option<SocketAddr>,
+}
+
+/// A list, whole or changes only.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// Its version.
+    pub version: u64,
+    /// All hosts are named (else those that changed).
+    pub whole: bool,
+    /// The hosts.
+    pub hosts: Vec<Host>,
+}
+
+/// Why a list could not be read.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ListError {
+    /// The answer is not HTTP, not whole, or too long.
+    Http(&'static str),
+    /// Discovery answered with another status than 200.
+    Status(u16),
+    /// The body is not JSON.
+    Json,
+    /// A field is missing or makes no sense.
+    Field(&'static str),
+}
+
+impl fmt::Display for ListError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            ListError::Http(what) => write!(f, "bad answer: {what}"),
+            ListError::Status(code) => write!(f, "answered {code}"),
+            ListError::Json => write!(f, "not JSON"),
+            ListError::Field(name) => write!(f, "{name} is missing or wrong"),
+        }
+    }
+}
+
+/// Reads a list in discovery's form.
+pub fn read_list(json: &Value, names: &Names) -> Result<News, ListError> {
+    let version = json["seq"].as_u64().ok_or(ListError::Field("seq"))?;
+    let whole = json["whole"].as_bool().ok_or(ListError::Field("whole"))?;
+    let hosts = json["hosts"].as_array().ok_or(ListError::Field("hosts"))?;
+    let hosts = hosts.iter().map(|h| read_host(h, names)).collect::<Result<_, _>>()?;
+    Ok(News { version, whole, hosts })
+}
+
+fn read_host(json: &Value, names: &Names) -> Result<Host, ListError> {
+    let host = json["host"].as_str().filter(|h| !h.is_empty()).ok_or(ListError::Field("host"))?;
+    let state = match json["health"].as_str() {
+        Some("up") => State::Ready,
+        Some("draining") => State::Draining,
+        Some("removed") => State::Gone,
+        // Danger: to take an unknown state for a known one may send work where none is wanted.
+        _ => return Err(ListError::Field("health")),
+    };
+    let dial = json["dial"].as_str().and_then(|d| d.parse().ok());
+    if dial.is_none() && state != State::Gone {
+        return Err(ListError::Field("dial"));
+    }
+    let number = |name: &str| json[name].as_u64().unwrap_or(0);
+    // A zone or kind that the settings don't name is like no other.
+    let place = |all: &[String], name: &Value| {
+        let at = name.as_str().and_then(|n| all.iter().position(|z| z == n)).map(|i| i as u64);
+        at.or(name.as_u64()).map_or(u32::MAX, |i| i as u32)
+    };
+    let entry = Entry {
+        server: server_id(host),
+        zone: place(&names.zones, &json["site"]),
+        kind: place(&names.kinds, &json["class"]),
+        cell: number("block") as u32,
+        state,
+        weight: json["share"].as_f64().unwrap_or(1.0),
+        started: number("born_ms").saturating_mul(MS),
+    };
+    Ok(Host { entry, dial })
+}
+
+/// What comes of the calls.
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    /// A list.
+    News(News),
+    /// A call failed, or the watch ended with it.
+    Failed(ListError),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    /// The first call of a watch; it doesn't wait, so that the module soon hears that it is subscribed.
+    Begin,
+    /// A further one.
+    Follow,
+    /// The whole list, once.
+    Fetch,
+}
+
+/// The length of an answer's body.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Head,
+    Left(usize),
+    /// In chunks: what is left of this one; 0 when its size is yet to come.
+    Chunks(usize),
+    ChunkEnd,
+    /// The trailer after the last chunk: how long its line is so far.
+    Trailer(usize),
+    ToEnd,
+    Done,
+}
+
+#[derive(Debug)]
+struct Call {
+    purpose: Purpose,
+    stream: TcpStream,
+    out: Vec<u8>,
+    written: usize,
+    deadline: Nanos,
+    framing: Framing,
+    /// Input not yet understood: a head, or a chunk's size.
+    pending: Vec<u8>,
+    body: Vec<u8>,
+}
+
+/// The calls to discovery: at most one of the watch and one for the whole list.
+#[derive(Debug)]
+pub struct Discovery {
+    address: SocketAddr,
+    names: Names,
+    version: Option<u64>,
+    tokens: [Token; 2],
+    watch: Option<Call>,
+    fetch: Option<Call>,
+}
+
+impl Discovery {
+    /// Nothing asked yet; `version` is that of the list already known, `tokens` are for the watch and for a
+    /// call for the whole list.
+    pub fn new(address: SocketAddr, names: Names, version: Option<u64>, tokens: [Token; 2]) -> Self {
+        Discovery { address, names, version, tokens, watch: None, fetch: None }
+    }
+
+    /// Begins a watch, or begins it anew.
+    pub fn subscribe(&mut self, registry: &Registry, now: Nanos) -> Result<(), ListError> {
+        self.watch = None;
+        self.watch = Some(self.call(registry, Purpose::Begin, now)?);
+        Ok(())
+    }
+
+    /// Asks for the whole list.
+    pub fn fetch(&mut self, registry: &Registry, now: Nanos) -> Result<(), ListError> {
+        self.fetch = None;
+        self.fetch = Some(self.call(registry, Purpose::Fetch, now)?);
+        Ok(())
+    }
+
+    fn call(&self, registry: &Registry, purpose: Purpose, now: Nanos) -> Result<Call, ListError> {
+        let token = self.tokens[usize::from(purpose == Purpose::Fetch)];
+        let wait = if purpose == Purpose::Follow { WAIT } else { 0 };
+        let query = match self.version {
+            Some(version) if purpose != Purpose::Fetch => {
+                format!("?since={version}&timeout_ms={}", wait / MS)
+            }
+            _ => String::new(),
+        };
+        let address = self.address;
+        let out = format!(
+            "GET /catalog/members{query} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\
+             Connection: close\r\n\r\n"
+        );
+        let failed = |_| ListError::Http("no connection");
+        let mut stream = TcpStream::connect(address).map_err(failed)?;
+        registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE).map_err(failed)?;
+        Ok(Call {
+            purpose,
+            stream,
+            out: out.into_bytes(),
+            written: 0,
+            deadline: now + wait + PATIENCE,
+            framing: Framing::Head,
+            pending: Vec::new(),
+            body: Vec::new(),
+        })
+    }
+
+    /// Drives the call of a token as far as its socket allows; its answer, once there is one.
+    pub fn ready(&mut self, registry: &Registry, token: Token, now: Nanos) -> Option<Answer> {
+        let slot = if token == self.tokens[0] { &mut self.watch } else { &mut self.fetch };
+        let call = slot.as_mut()?;
+        let purpose = call.purpose;
+        let read = match call.drive() {
+            Ok(false) => return None,
+            Ok(true) => serde_json::from_slice(&call.body).map_err(|_| ListError::Json),
+            Err(e) => Err(e),
+        };
+        *slot = None;
+        let news = read.and_then(|json| read_list(&json, &self.names));
+        let news = match news {
+            Ok(news) => news,
+            Err(e) => return Some(Answer::Failed(e)),
+        };
+        self.version = Some(news.version);
+        if purpose != Purpose::Fetch {
+            // Danger: a call more than 200 ms after the last answer begins a new watch.
+            match self.call(registry, Purpose::Follow, now) {
+                Ok(call) => self.watch = Some(call),
+                Err(e) => return Some(Answer::Failed(e)),
+            }
+        }
+        // A call that waited in vain says nothing new, but the first one says that the watch has begun.
+        let told = purpose != Purpose::Follow || news.whole || !news.hosts.is_empty();
+        told.then_some(Answer::News(news))
+    }
+
+    /// Ends what has waited too long. Danger: a discovery that is cut off says nothing at all.
+    pub fn sweep(&mut self, now: Nanos) -> Option<Answer> {
+        let mut over = false;
+        for slot in [&mut self.watch, &mut self.fetch] {
+            if slot.as_ref().is_some_and(|c| c.deadline <= now) {
+                *slot = None;
+                over = true;
+            }
+        }
+        over.then_some(Answer::Failed(ListError::Http("no answer in time")))
+    }
+}
+
+impl Call {
+    /// Writes and reads what it can; true once the body is whole.
+    fn drive(&mut self) -> Result<bool, ListError> {
+        let lost = ListError::Http("connection lost");
+        while self.written < self.out.len() {
+            match self.stream.write(&self.out[self.written..]) {
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
+                    return Ok(false)
+                }
+                Err(_) => return Err(lost),
+            }
+        }
+        let mut buffer = [0; 16 << 10];
+        loop {
+            match self.stream.read(&mut buffer) {
+                Ok(0) if matches!(self.framing, Framing::ToEnd) => return Ok(true),
+                Ok(0) => return Err(lost),
+                Ok(n) => self.take(&buffer[..n])?,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(_) => return Err(lost),
+            }
+            if matches!(self.framing, Framing::Done) {
+                return Ok(true);
+            }
+        }
+    }
+
+    fn take(&mut self, mut input: &[u8]) -> Result<(), ListError> {
+        while !input.is_empty() {
+            match self.framing {
+                Framing::Head => {
+                    self.pending.extend_from_slice(input);
+                    let Some(head) = self.head()? else { return Ok(()) };
+                    let pending = std::mem::take(&mut self.pending);
+                    return self.take(&pending[head..]);
+                }
+                Framing::ToEnd => {
+                    self.keep(input)?;
+                    return Ok(());
+                }
+                Framing::Left(left) => {
+                    let n = left.min(input.len());
+                    self.keep(&input[..n])?;
+                    input = &input[n..];
+                    self.framing = if left == n { Framing::Done } else { Framing::Left(left - n) };
+                }
+                Framing::Chunks(0) => {
+                    self.pending.push(input[0]);
+                    input = &input[1..];
+                    if self.pending.ends_with(b"\n") {
+                        self.framing = match httparse::parse_chunk_size(&self.pending) {
+                            Ok(httparse::Status::Complete((_, 0))) => Framing::Trailer(0),
+                            Ok(httparse::Status::Complete((_, n))) if n <= MAX_BODY as u64 => {
+                                Framing::Chunks(n as usize)
+                            }
+                            _ => return Err(ListError::Http("bad chunk")),
+                        };
+                        self.pending.clear();
+                    } else if self.pending.len() > MAX_CHUNK_LINE {
+                        return Err(ListError::Http("bad chunk"));
+                    }
+                }
+                Framing::Chunks(left) => {
+                    let n = left.min(input.len());
+                    self.keep(&input[..n])?;
+                    input = &input[n..];
+                    self.framing = if left == n { Framing::ChunkEnd } else { Framing::Chunks(left - n) };
+                }
+                Framing::ChunkEnd => {
+                    match input[0] {
+                        b'\r' => {}
+                        b'\n' => self.framing = Framing::Chunks(0),
+                        _ => return Err(ListError::Http("bad chunk")),
+                    }
+                    input = &input[1..];
+                }
+                Framing::Trailer(line) => {
+                    self.framing = match input[0] {
+                        b'\n' if line == 0 => Framing::Done,
+                        b'\n' => Framing::Trailer(0),
+                        b'\r' => Framing::Trailer(line),
+                        _ if line > MAX_HEAD => return Err(ListError::Http("trailer is too long")),
+                        _ => Framing::Trailer(line + 1),
+                    };
+                    input = &input[1..];
+                }
+                Framing::Done => return Ok(()),
+            }
+        }
+        Ok(())
+    }
+
+    fn keep(&mut self, part: &[u8]) -> Result<(), ListError> {
+        if self.body.len() + part.len() > MAX_BODY {
+            return Err(ListError::Http("body is too long"));
+        }
+        self.body.extend_from_slice(part);
+        Ok(())
+    }
+
+    /// Reads the head once it is whole; tells its length and sets the framing of the body.
+    fn head(&mut self) -> Result<Option<usize>, ListError> {
+        if !self.pending.windows(4).any(|w| w == b"\r\n\r\n") {
+            let long = self.pending.len() > MAX_HEAD;
+            return if long { Err(ListError::Http("head is too long")) } else { Ok(None) };
+        }
+        let mut fields = [httparse::EMPTY_HEADER; 64];
+        let mut head = httparse::Response::new(&mut fields);
+        let Ok(httparse::Status::Complete(length)) = head.parse(&self.pending) else {
+            return Err(ListError::Http("bad head"));
+        };
+        let code = head.code.unwrap_or(0);
+        if code != 200 {
+            return Err(ListError::Status(code));
+        }
+        let mut framing = Framing::ToEnd;
+        for field in head.headers.iter() {
+            let value = std::str::from_utf8(field.value).unwrap_or_default().trim();
+            if field.name.eq_ignore_ascii_case("transfer-encoding") {
+                if !value.eq_ignore_ascii_case("chunked") {
+                    return Err(ListError::Http("unknown transfer-encoding"));
+                }
+                framing = Framing::Chunks(0);
+            } else if field.name.eq_ignore_ascii_case("content-length")
+                && !matches!(framing, Framing::Chunks(_))
+            {
+                let n = value.parse().map_err(|_| ListError::Http("bad content-length"))?;
+                framing = if n == 0 { Framing::Done } else { Framing::Left(n) };
+            }
+        }
+        self.framing = framing;
+        Ok(Some(length))
+    }
+}
--- /dev/null
+++ b/src/proxy/mod.rs
@@ -0,0 +1,594 @@
+//! The real proxy round the decision module: one thread, one readiness loop.
+//!
+//! Sockets and timers become the module's events, its actions become bytes. Nothing here chooses where a
+//! request goes, when, or whether it is tried again or refused; the proxy refuses by itself only what it has
+//! no room for and the module has never seen.
+
+mod client;
+pub mod config;
+mod discovery;
+mod resp;
+mod timers;
+mod upstream;
+
+use calicosaddle::api::*;
+use calicosaddle::Brain;
+use client::{Clients, Place, Query};
+use config::Config;
+use discovery::{Answer, Discovery};
+use mio::net::UnixStream;
+use mio::{Events, Interest, Poll, Token};
+use rustc_hash::FxHashMap;
+use std::collections::VecDeque;
+use std::io::{self, Read};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use timers::{Due, Timers};
+use upstream::{Job, Upstreams};
+
+const MS: Nanos = 1_000_000;
+/// The answer leaves this much before the client's time is up (a tenth of it where that is less), so that it
+/// is in time though the loop may be late.
+const MARGIN: Nanos = 10 * MS;
+/// How often all connections are looked over for what waits too long.
+const SWEEP: Nanos = 100 * MS;
+/// After SIGTERM new connections come for 0.4 s at the most: so long the proxy serves on.
+const WINDOW: Nanos = 450 * MS;
+/// SIGKILL comes the longest deadline and 0.7 s after SIGTERM: what is under way then ends with the process.
+const LAST_CALL: Nanos = 600 * MS;
+/// After descriptors ran out, the listener rests for so long.
+const ACCEPT_PAUSE: Nanos = 20 * MS;
+/// Descriptors for all but connections: standard streams, poll, listener, signal, discovery, some to spare.
+const RESERVED: usize = 32;
+/// A quarter of the memory may hold long values of commands, and as much unread answers.
+const MEMORY_PART: u64 = 4;
+/// Requests open at once; each takes about a kilobyte.
+const MAX_OPEN: usize = 8_192;
+/// A poll that took less found its events waiting: they came while the loop was at work.
+const AWAKE: Nanos = MS / 5;
+/// Bytes read at once.
+const BUFFER: usize = 64 << 10;
+
+const LISTENER: Token = Token(0);
+const SIGNAL: Token = Token(4);
+const DISCOVERY: [Token; 2] = [Token(8), Token(12)];
+
+fn client_token(key: usize) -> Token {
+    Token(key << 2 | 1)
+}
+
+fn upstream_token(key: usize) -> Token {
+    Token(key << 2 | 2)
+}
+
+/// The module's clock: Unix time at the start and monotonic time since, so that a cache node's start, told as
+/// Unix time, lies on it.
+#[derive(Clone, Copy, Debug)]
+struct Clock {
+    unix: Nanos,
+    started: Instant,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix: unix.as_nanos() as Nanos, started: Instant::now() }
+    }
+
+    fn now(&self) -> Nanos {
+        self.unix + self.started.elapsed().as_nanos() as Nanos
+    }
+}
+
+/// An attempt that has not ended.
+#[derive(Debug)]
+struct Attempt {
+    number: u32,
+    server: ServerId,
+    sent: Nanos,
+    connection: Option<usize>,
+}
+
+/// A request that is not answered, or has attempts out.
+#[derive(Debug)]
+struct Open {
+    place: Place,
+    query: Rc<Query>,
+    until: Nanos,
+    attempts: u32,
+    out: Vec<Attempt>,
+    answered: bool,
+    /// The attempt whose long value is being passed on.
+    streaming: Option<u32>,
+    /// The module has been told that the client left; what is under way may still be answered.
+    left: bool,
+}
+
+/// One proxy.
+pub struct Proxy {
+    config: Config,
+    clock: Clock,
+    now: Nanos,
+    /// When what this turn reads may have come at the earliest.
+    since: Nanos,
+    poll: Poll,
+    signal: UnixStream,
+    brain: Brain,
+    timers: Timers,
+    clients: Clients,
+    upstreams: Upstreams,
+    discovery: Discovery,
+    open: FxHashMap<RequestId, Open>,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    buffer: Vec<u8>,
+    stopping: Option<Nanos>,
+    closed: bool,
+    discovery_failed: bool,
+}
+
+impl Proxy {
+    /// Listens, and tells the module what the configuration knows.
+    pub fn start(mut config: Config) -> io::Result<Self> {
+        let clock = Clock::new();
+        let now = clock.now();
+        let poll = Poll::new()?;
+        let registry = poll.registry();
+        let (mut signal, raised) = UnixStream::pair()?;
+        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, raised)?;
+        registry.register(&mut signal, SIGNAL, Interest::READABLE)?;
+        // Half of the descriptors for clients, half for cache nodes: a request needs one of each.
+        let half = (config.sockets.saturating_sub(RESERVED) / 2).max(1);
+        let memory = ((config.memory_mb << 20) / MEMORY_PART) as usize;
+        let mut clients = Clients::listen(config.listen, half, memory)?;
+        clients.register(registry, LISTENER)?;
+        let known = config.known.take();
+        let version = known.as_ref().map(|k| k.version);
+        let mut proxy = Proxy {
+            clock,
+            now,
+            since: now,
+            signal,
+            brain: Brain::new(config.settings.clone(), config.seed),
+            timers: Timers::default(),
+            clients,
+            upstreams: Upstreams::new(&config, half),
+            discovery: Discovery::new(config.discovery, config.names.clone(), version, DISCOVERY),
+            open: FxHashMap::default(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            buffer: vec![0; BUFFER],
+            stopping: None,
+            closed: false,
+            discovery_failed: false,
+            poll,
+            config,
+        };
+        let entries = known.map(|k| proxy.take_list(k)).unwrap_or_default();
+        proxy.events.push_back(Event::List { kind: ListKind::Cached, entries });
+        proxy.decide();
+        proxy.timers.set(now + SWEEP, Due::Sweep);
+        Ok(proxy)
+    }
+
+    /// Serves until SIGTERM and what follows from it.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(1024);
+        while !self.done() {
+            let more = self.clients.has_more() || self.upstreams.has_more();
+            let wait = self.timers.next().map(|at| Duration::from_nanos(at.saturating_sub(self.clock.now())));
+            let before = self.clock.now();
+            match self.poll.poll(&mut events, if more { Some(Duration::ZERO) } else { wait }) {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                polled => polled?,
+            }
+            let woken = self.now;
+            self.now = self.clock.now();
+            self.since = if self.now - before < AWAKE { woken } else { self.now };
+            self.turn(&events);
+        }
+        Ok(())
+    }
+
+    /// One turn of the loop. Cache nodes come first: a connection that has closed is not written to again.
+    /// Danger: a turn may be long where a core is shared, and waits would be measured short; so the clock is
+    /// read again for each socket.
+    fn turn(&mut self, events: &Events) {
+        for key in self.upstreams.take_again() {
+            self.upstreams.ready(key, true, &mut self.buffer, self.now);
+            self.settle();
+        }
+        for event in events.iter().filter(|e| e.token().0 & 3 == 2) {
+            self.now = self.clock.now();
+            let closed = event.is_read_closed() || event.is_error();
+            self.upstreams.ready(event.token().0 >> 2, closed, &mut self.buffer, self.now);
+            self.settle();
+        }
+        self.run_timers();
+        for event in events.iter().filter(|e| e.token().0 & 3 == 0) {
+            match event.token() {
+                LISTENER => self.clients.knocked(),
+                SIGNAL => self.signalled(),
+                token => {
+                    let answer = self.discovery.ready(self.poll.registry(), token, self.now);
+                    self.discovered(answer);
+                }
+            }
+            self.settle();
+        }
+        for key in self.clients.take_again() {
+            self.clients.read(key, true, &self.config, &mut self.buffer, self.now);
+            self.settle();
+        }
+        for event in events.iter().filter(|e| e.token().0 & 3 == 1) {
+            let key = event.token().0 >> 2;
+            self.now = self.clock.now();
+            if event.is_writable() {
+                self.clients.flush(key, self.now);
+            }
+            let closed = event.is_read_closed() || event.is_error();
+            self.clients.read(key, closed, &self.config, &mut self.buffer, self.now);
+            self.settle();
+        }
+        if self.clients.accept(self.poll.registry(), self.now, client_token).is_err() {
+            // Danger: without a pause the loop would spin on a listener that it can't accept from.
+            self.timers.set(self.now + ACCEPT_PAUSE, Due::Accept);
+        }
+        self.clients.flush_all(self.now);
+        self.settle();
+    }
+
+    /// Works off all that sockets told and that follows from it.
+    fn settle(&mut self) {
+        loop {
+            if let Some(news) = self.upstreams.news() {
+                self.attempt_news(news);
+            } else if let Some(news) = self.clients.news() {
+                self.client_news(news);
+            } else if let Some(key) = self.clients.resume() {
+                self.upstreams.resume(key);
+            } else if self.events.is_empty() {
+                return;
+            }
+            self.decide();
+        }
+    }
+
+    // ---- the module ----
+
+    /// Hands the module what happened, and does what it says.
+    fn decide(&mut self) {
+        while let Some(mut event) = self.events.pop_front() {
+            if let Event::Outcome(o) = &mut event {
+                o.last = self.open.get(&o.id).is_none_or(|r| r.answered);
+                self.retire(o.id);
+            }
+            let mut actions = std::mem::take(&mut self.actions);
+            self.brain.handle(self.now, event, &mut actions);
+            actions.drain(..).for_each(|action| self.act(action));
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Cancel { id, attempt } => self.end_attempt(id, attempt, Status::Cancelled),
+            Action::Refuse { id, retry_after: 0 } => self.answer(id, client::BUSY),
+            Action::Refuse { id, retry_after } => {
+                let answer = format!("-BUSY {}\r\n", retry_after.div_ceil(MS));
+                self.answer(id, answer.as_bytes());
+            }
+            Action::Fail { id } => self.answer(id, client::FAILED),
+            Action::Timer { token, delay } => self.timers.set(self.now + delay, Due::Module(token)),
+            // This module asks for no probes; the design has no use for them.
+            Action::Probe(server) => self.events.push_back(Event::Probed {
+                server,
+                status: Status::Moot,
+                elapsed: 0,
+                load: Vec::new(),
+            }),
+            Action::Close(server) => self.upstreams.close_idle(server),
+            Action::Subscribe => {
+                if let Err(e) = self.discovery.subscribe(self.poll.registry(), self.now) {
+                    self.discovered(Some(Answer::Failed(e)));
+                }
+            }
+            Action::FetchList => {
+                if let Err(e) = self.discovery.fetch(self.poll.registry(), self.now) {
+                    self.discovered(Some(Answer::Failed(e)));
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, timeout: Nanos) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = open.attempts;
+        open.attempts += 1;
+        open.out.push(Attempt { number: attempt, server, sent: self.now, connection: None });
+        let over = open.answered || open.left || open.streaming.is_some() || open.until <= self.now;
+        if over || attempt >= self.config.settings.max_attempts.max(1) {
+            self.end_attempt(id, attempt, Status::Moot);
+            return;
+        }
+        let mut until = open.until;
+        if timeout > 0 && self.now + timeout < until {
+            until = self.now + timeout;
+            self.timers.set(until, Due::Attempt(id, attempt));
+        }
+        let job = Job { id, attempt, query: open.query.clone(), until };
+        let sent = self.upstreams.send(self.poll.registry(), upstream_token, server, job, self.now);
+        let Some((key, new)) = sent else { return };
+        if let Some(serial) = new {
+            let wait = self.config.settings.connect_timeout.max(MS);
+            self.timers.set(self.now + wait, Due::Connect(key, serial));
+        }
+        if let Some(a) = self.open.get_mut(&id).and_then(|o| o.out.iter_mut().find(|a| a.number == attempt)) {
+            a.connection = Some(key);
+        }
+    }
+
+    // ---- requests ----
+
+    fn client_news(&mut self, news: client::News) {
+        match news {
+            client::News::Query(id, place, query) => self.arrived(id, place, query),
+            client::News::Left(id) => {
+                // Danger: a client that only ended its sending waits for its answer, and one that left wants
+                // nothing more to be done. An attempt that is out is let finish, no other follows it.
+                let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
+                open.left = true;
+                self.events.push_back(Event::Expired(id));
+            }
+            client::News::Gone(id) => {
+                let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
+                open.answered = true;
+                let out: Vec<u32> = open.out.iter().map(|a| a.number).collect();
+                self.events.push_back(Event::Expired(id));
+                out.into_iter().for_each(|n| self.end_attempt(id, n, Status::Cancelled));
+                self.retire(id);
+            }
+        }
+    }
+
+    fn arrived(&mut self, id: RequestId, place: Place, query: Rc<Query>) {
+        if self.open.len() >= self.config.max_open.min(MAX_OPEN) {
+            self.clients.answer(place, client::BUSY);
+            return;
+        }
+        let margin = MARGIN.min(query.wait / 10);
+        let until = self.since + query.wait - margin;
+        let request = Request {
+            id,
+            class: query.class,
+            tenant: query.tenant,
+            key: Some(query.key),
+            remaining: until.saturating_sub(self.now),
+            hint: query.hint,
+            repeat: query.repeat,
+            write: query.write,
+        };
+        let open = Open {
+            place,
+            query,
+            until,
+            attempts: 0,
+            out: Vec::new(),
+            answered: false,
+            streaming: None,
+            left: false,
+        };
+        self.open.insert(id, open);
+        self.timers.set(until, Due::Deadline(id));
+        self.events.push_back(Event::Arrival(request));
+    }
+
+    /// Gives the one final answer.
+    fn answer(&mut self, id: RequestId, answer: &[u8]) {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered && o.streaming.is_none()) else {
+            return;
+        };
+        open.answered = true;
+        self.clients.answer(open.place, answer);
+        self.retire(id);
+    }
+
+    /// Forgets a request that is answered and has no attempt out.
+    fn retire(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|o| o.answered && o.out.is_empty()) {
+            self.open.remove(&id);
+        }
+    }
+
+    /// Answers a request that the module is no longer concerned with, once nothing is under way for it.
+    fn finish_left(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|o| o.left && o.out.is_empty()) {
+            self.answer(id, client::FAILED);
+        }
+    }
+
+    fn deadline(&mut self, id: RequestId) {
+        let Some(open) = self.open.get(&id) else { return };
+        let out: Vec<u32> =
+            open.out.iter().map(|a| a.number).filter(|n| open.streaming != Some(*n)).collect();
+        out.into_iter().for_each(|n| self.end_attempt(id, n, Status::Timeout));
+        self.settle();
+        // The module answers when its last attempt has timed out; this holds should it ever not.
+        if self.open.get(&id).is_some_and(|o| !o.answered && o.streaming.is_none()) {
+            self.events.push_back(Event::Expired(id));
+            self.answer(id, client::FAILED);
+        }
+    }
+
+    // ---- attempts ----
+
+    /// Ends an attempt for a reason of ours: called off, timed out, or never sent.
+    fn end_attempt(&mut self, id: RequestId, attempt: u32, mut status: Status) {
+        let Some(open) = self.open.get(&id) else { return };
+        let Some(a) = open.out.iter().find(|a| a.number == attempt) else { return };
+        if let Some(key) = a.connection {
+            if status == Status::Timeout && !self.upstreams.is_written(key, id, attempt) {
+                status = Status::ConnectFailed;
+            }
+            if !self.upstreams.cancel(key, id, attempt) {
+                // Its news is on the way.
+                return;
+            }
+        }
+        self.ended(id, attempt, status, &resp::Reply::default());
+    }
+
+    fn attempt_news(&mut self, news: upstream::News) {
+        match news {
+            upstream::News::Ended(id, attempt, status, reply) => self.ended(id, attempt, status, &reply),
+            upstream::News::Served(id, attempt, reply, bytes) => {
+                self.answer(id, &bytes);
+                self.ended(id, attempt, Status::Ok, &reply);
+            }
+            upstream::News::Began(id, attempt, connection, bytes) => {
+                let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered && o.streaming.is_none())
+                else {
+                    // Another attempt was quicker.
+                    self.end_attempt(id, attempt, Status::Cancelled);
+                    return;
+                };
+                open.streaming = Some(attempt);
+                self.clients.begin(open.place, id, connection);
+                self.clients.pass(open.place, &bytes, false);
+                self.events.push_back(Event::First(id));
+            }
+            upstream::News::More(id, connection, bytes) => {
+                let Some(open) = self.open.get(&id) else { return };
+                if !self.clients.pass(open.place, &bytes, false) {
+                    self.upstreams.pause(connection);
+                }
+            }
+            upstream::News::Last(id, attempt, reply, bytes) => {
+                if let Some(open) = self.open.get_mut(&id).filter(|o| o.streaming == Some(attempt)) {
+                    open.answered = true;
+                    self.clients.pass(open.place, &bytes, true);
+                }
+                self.ended(id, attempt, Status::Ok, &reply);
+            }
+            upstream::News::Broke(id, attempt) => {
+                if let Some(open) = self.open.get_mut(&id).filter(|o| o.streaming == Some(attempt)) {
+                    open.answered = true;
+                    self.clients.break_off(open.place);
+                }
+                self.ended(id, attempt, Status::Reset, &resp::Reply::default());
+            }
+        }
+    }
+
+    /// Tells the module how an attempt ended.
+    fn ended(&mut self, id: RequestId, attempt: u32, status: Status, reply: &resp::Reply) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(at) = open.out.iter().position(|a| a.number == attempt) else { return };
+        let a = open.out.swap_remove(at);
+        let hit = match &reply.note[..] {
+            b"hit" => Some(true),
+            b"miss" | b"pending" => Some(false),
+            _ => None,
+        };
+        self.events.push_back(Event::Outcome(Outcome {
+            id,
+            attempt,
+            server: a.server,
+            status,
+            elapsed: self.now.saturating_sub(a.sent),
+            last: false,
+            hit,
+            load: load(&reply.load, &self.config.columns),
+        }));
+        self.finish_left(id);
+    }
+
+    // ---- discovery ----
+
+    fn discovered(&mut self, answer: Option<Answer>) {
+        match answer {
+            None => {}
+            Some(Answer::News(news)) => {
+                self.discovery_failed = false;
+                let kind = if news.whole { ListKind::Full } else { ListKind::Delta };
+                let entries = self.take_list(news);
+                self.events.push_back(Event::List { kind, entries });
+            }
+            Some(Answer::Failed(e)) => {
+                // Only the first failure of a row is logged.
+                if !std::mem::replace(&mut self.discovery_failed, true) {
+                    eprintln!("discovery: {e}");
+                }
+                self.events.push_back(Event::List { kind: ListKind::Failed, entries: Vec::new() });
+            }
+        }
+    }
+
+    fn take_list(&mut self, news: discovery::News) -> Vec<Entry> {
+        self.upstreams.list(&news);
+        news.hosts.into_iter().map(|h| h.entry).collect()
+    }
+
+    // ---- time ----
+
+    fn run_timers(&mut self) {
+        while let Some(due) = self.timers.pop(self.now) {
+            match due {
+                Due::Module(token) => self.events.push_back(Event::Timer(token)),
+                Due::Deadline(id) => self.deadline(id),
+                Due::Attempt(id, attempt) => self.end_attempt(id, attempt, Status::Timeout),
+                Due::Connect(key, serial) => self.upstreams.connect_timeout(key, serial),
+                Due::Accept => self.clients.knocked(),
+                Due::Sweep => {
+                    self.timers.set(self.now + SWEEP, Due::Sweep);
+                    self.clients.sweep(self.now);
+                    self.upstreams.sweep(self.now);
+                    let answer = self.discovery.sweep(self.now);
+                    self.discovered(answer);
+                    self.stop();
+                }
+            }
+            self.settle();
+        }
+    }
+
+    // ---- the end ----
+
+    fn signalled(&mut self) {
+        let mut bytes = [0; 16];
+        while self.signal.read(&mut bytes).is_ok_and(|n| n > 0) {}
+        self.stopping.get_or_insert(self.now);
+    }
+
+    /// Closes the proxy to clients once the window after SIGTERM is over.
+    fn stop(&mut self) {
+        if self.closed || self.stopping.is_none_or(|at| self.now < at + WINDOW) {
+            return;
+        }
+        self.closed = true;
+        // Danger: what the kernel has accepted would be reset with the listener.
+        self.clients.knocked();
+        let _ = self.clients.accept(self.poll.registry(), self.now, client_token);
+        self.clients.stop(&self.config, &mut self.buffer, self.now);
+    }
+
+    fn done(&self) -> bool {
+        self.stopping.is_some_and(|at| {
+            (self.closed && self.clients.is_empty()) || self.now >= at + self.config.longest + LAST_CALL
+        })
+    }
+}
+
+/// Reads a load report: `name=value`, in the order of the columns; one that is not told is NaN.
+fn load(report: &[u8], columns: &[String]) -> Vec<f64> {
+    if columns.is_empty() || report.is_empty() {
+        return Vec::new();
+    }
+    let report = String::from_utf8_lossy(report);
+    let told = |column: &String| {
+        let pair = report.split(',').filter_map(|p| p.split_once('=')).find(|(name, _)| name == column);
+        pair.and_then(|(_, value)| value.parse().ok()).unwrap_or(f64::NAN)
+    };
+    columns.iter().map(told).collect()
+}
--- /dev/null
+++ b/src/proxy/upstream.rs
@@ -0,0 +1,574 @@
+//! Cache nodes: where they are, the connections to each, and the attempts on them.
+//!
+//! A connection carries attempts in order. An attempt is checked when its turn to be written comes, and once
+//! its last byte is written it may have run, whatever becomes of the connection.
+
+use super::client::Query;
+use super::config::Config;
+use super::discovery::News as List;
+use super::resp::{Found, Kind, Reply, ReplyParser, LONG_VALUE};
+use calicosaddle::api::{Nanos, RequestId, ServerId, State, Status};
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use rustc_hash::{FxHashMap, FxHashSet};
+use slab::Slab;
+use std::collections::VecDeque;
+use std::io::{self, IoSlice, Read, Write};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+const MS: Nanos = 1_000_000;
+/// Connections to one cache node over all proxies, as far as this proxy plans for. Nodes accept about thirty,
+/// a fuller table takes more of their capacity, and proxies that restart bring theirs anew.
+const NODE_CONNECTIONS: usize = 24;
+/// Connections that one proxy wants to a node at the most: more than a node has places for requests.
+const MOST_CONNECTIONS: usize = 8;
+/// The part of the node's idle time after which a connection is not used again: a request that crosses the
+/// node's close ends as a reset.
+const IDLE_PART: f64 = 0.8;
+/// A request that a node no longer listened for is reset within a round trip; one that broke off later was at
+/// work.
+const CROSSED: Nanos = 50 * MS;
+/// No idle time is learned that is shorter than this.
+const LEAST_FRESH: Nanos = 10 * MS;
+/// A learned idle time grows by this part a second, so that it is tried again by and by.
+const REGROWTH: f64 = 0.02;
+/// A node pauses within a long value for 0.1 s at most; one that is silent for so long is gone.
+const STALLED: Nanos = 3_000 * MS;
+/// A longer write goes out from where it lies instead of being copied behind its command.
+const COPIED: usize = 16 << 10;
+/// Reads of one connection before others have their turn.
+const READS: usize = 4;
+
+/// One attempt, as it waits to be written.
+#[derive(Debug)]
+pub struct Job {
+    /// The request.
+    pub id: RequestId,
+    /// Which of its attempts.
+    pub attempt: u32,
+    /// What the client sent.
+    pub query: Rc<Query>,
+    /// When the proxy stops waiting.
+    pub until: Nanos,
+}
+
+/// What became of attempts.
+#[derive(Debug)]
+pub enum News {
+    /// It ended without a reply that could be passed on.
+    Ended(RequestId, u32, Status, Reply),
+    /// A whole reply that serves it, and its bytes.
+    Served(RequestId, u32, Reply, Vec<u8>),
+    /// A long value begins: the connection that it comes on, and its first bytes.
+    Began(RequestId, u32, usize, Vec<u8>),
+    /// More of it.
+    More(RequestId, usize, Vec<u8>),
+    /// The last of it.
+    Last(RequestId, u32, Reply, Vec<u8>),
+    /// It broke off.
+    Broke(RequestId, u32),
+}
+
+#[derive(Debug)]
+struct Node {
+    address: Option<SocketAddr>,
+    state: State,
+    started: Nanos,
+    connections: Vec<usize>,
+    /// Its connections are not used again after being idle for so long.
+    fresh: Nanos,
+}
+
+/// The command that is being written.
+#[derive(Debug)]
+struct Writing {
+    job: Job,
+    /// How much of it is written, the value and the last line end counted.
+    written: usize,
+    /// The command up to a long value lies in `out`; the value itself stays where it is.
+    long: bool,
+}
+
+#[derive(Debug)]
+struct Connection {
+    stream: TcpStream,
+    node: ServerId,
+    serial: u64,
+    up: bool,
+    queue: VecDeque<Job>,
+    out: Vec<u8>,
+    writing: Option<Writing>,
+    /// Attempts that await their replies, in order; `None` for those that are over, whose replies are dropped.
+    sent: VecDeque<Option<(RequestId, u32)>>,
+    live: usize,
+    parser: ReplyParser,
+    reply: Vec<u8>,
+    /// The reply at hand is long and is passed on as it comes.
+    long: bool,
+    /// Its client does not keep up.
+    paused: bool,
+    /// When it last carried anything.
+    moved: Nanos,
+    /// How long it had been idle before the attempt that was written last; 0 if it was not.
+    rested: Nanos,
+    /// It has answered before.
+    used: bool,
+}
+
+impl Connection {
+    /// Attempts on it, those that are over counted.
+    fn depth(&self) -> usize {
+        self.queue.len() + usize::from(self.writing.is_some()) + self.sent.len()
+    }
+
+    /// Nobody waits for anything on it.
+    fn deserted(&self) -> bool {
+        self.queue.is_empty() && self.writing.is_none() && self.live == 0
+    }
+}
+
+/// The cache nodes and all connections to them.
+#[derive(Debug)]
+pub struct Upstreams {
+    nodes: FxHashMap<ServerId, Node>,
+    all: Slab<Connection>,
+    serial: u64,
+    per_node: usize,
+    limit: usize,
+    streams: usize,
+    /// The longest that connections may be idle, as stated and as learned; and the last node that closed one
+    /// sooner, with the idle time.
+    stated: Nanos,
+    fresh: Nanos,
+    early: Option<(ServerId, Nanos)>,
+    swept: Nanos,
+    news: VecDeque<News>,
+    again: Vec<usize>,
+}
+
+impl Upstreams {
+    /// No nodes yet; at most `limit` connections in all.
+    pub fn new(config: &Config, limit: usize) -> Self {
+        let stated = (config.idle as f64 * IDLE_PART) as Nanos;
+        let share = NODE_CONNECTIONS / config.settings.proxies.max(1) as usize;
+        Upstreams {
+            nodes: FxHashMap::default(),
+            all: Slab::new(),
+            serial: 0,
+            per_node: share.clamp(1, MOST_CONNECTIONS),
+            limit,
+            streams: config.streams,
+            stated,
+            fresh: stated,
+            early: None,
+            swept: 0,
+            news: VecDeque::new(),
+            again: Vec::new(),
+        }
+    }
+
+    /// The next thing that became of an attempt.
+    pub fn news(&mut self) -> Option<News> {
+        self.news.pop_front()
+    }
+
+    /// True if some connection may have more input without saying so again.
+    pub fn has_more(&self) -> bool {
+        !self.again.is_empty()
+    }
+
+    /// Connections to read on with.
+    pub fn take_again(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.again)
+    }
+
+    /// Takes what discovery told.
+    pub fn list(&mut self, list: &List) {
+        if list.whole {
+            let named: FxHashSet<ServerId> = list.hosts.iter().map(|h| h.entry.server).collect();
+            self.nodes
+                .iter_mut()
+                .filter(|(id, _)| !named.contains(*id))
+                .for_each(|(_, n)| n.state = State::Gone);
+        }
+        for host in &list.hosts {
+            let e = &host.entry;
+            let node = self.nodes.entry(e.server).or_insert(Node {
+                address: host.dial,
+                state: e.state,
+                started: e.started,
+                connections: Vec::new(),
+                fresh: self.stated,
+            });
+            // Idle connections to a place or a process that the node has left serve nobody.
+            let moved = (host.dial.is_some() && node.address != host.dial) || node.started != e.started;
+            node.address = host.dial.or(node.address);
+            (node.state, node.started) = (e.state, e.started);
+            if moved || e.state == State::Gone {
+                self.close_idle(e.server);
+            }
+        }
+        let left = |n: &Node| n.state == State::Gone && n.connections.is_empty();
+        self.nodes.retain(|_, n| !left(n));
+    }
+
+    /// Closes the idle connections to a node.
+    pub fn close_idle(&mut self, server: ServerId) {
+        let Some(node) = self.nodes.get(&server) else { return };
+        let idle: Vec<usize> = node
+            .connections
+            .iter()
+            .copied()
+            .filter(|k| self.all.get(*k).is_some_and(|c| c.depth() == 0))
+            .collect();
+        idle.into_iter().for_each(|key| self.close(key));
+    }
+
+    /// Sends an attempt, on a connection that is idle, or new, or busy, in this order. Returns the
+    /// connection, and its serial number if it is new; nothing if the attempt ended at once.
+    pub fn send(
+        &mut self,
+        registry: &Registry,
+        token: impl Fn(usize) -> Token,
+        server: ServerId,
+        job: Job,
+        now: Nanos,
+    ) -> Option<(usize, Option<u64>)> {
+        let Some(node) = self.nodes.get(&server) else {
+            self.end(job, Status::Moot);
+            return None;
+        };
+        let fresh = node.fresh.min(self.fresh);
+        // The one used last is taken first, so that those too many grow old and close.
+        let idle = node.connections.iter().copied().filter(|k| {
+            self.all.get(*k).is_some_and(|c| c.up && c.depth() == 0 && now.saturating_sub(c.moved) < fresh)
+        });
+        let mut key = idle.max_by_key(|k| self.all[*k].moved);
+        let mut new = None;
+        if key.is_none() && node.connections.len() < self.per_node {
+            (key, new) = self.open(registry, token, server, now);
+        }
+        let key = key.or_else(|| self.busy(server));
+        let Some(key) = key else {
+            self.end(job, Status::ConnectFailed);
+            return None;
+        };
+        self.all[key].queue.push_back(job);
+        if self.all[key].up {
+            self.flush(key, now);
+        }
+        Some((key, new))
+    }
+
+    /// The least busy connection that can take one more. Danger: behind an attempt that is over, or a long
+    /// value, an answer may wait for good.
+    fn busy(&self, server: ServerId) -> Option<usize> {
+        let keys = self.nodes.get(&server)?.connections.iter().copied();
+        let fits = |c: &Connection| {
+            c.live == c.sent.len() && !c.long && (c.depth() > 0 || !c.up) && c.depth() < self.streams
+        };
+        keys.filter(|k| self.all.get(*k).is_some_and(fits)).min_by_key(|k| self.all[*k].depth())
+    }
+
+    fn open(
+        &mut self,
+        registry: &Registry,
+        token: impl Fn(usize) -> Token,
+        server: ServerId,
+        now: Nanos,
+    ) -> (Option<usize>, Option<u64>) {
+        if self.all.len() >= self.limit && !self.evict() {
+            return (None, None);
+        }
+        let Some(node) = self.nodes.get_mut(&server) else { return (None, None) };
+        let Some(Ok(mut stream)) = node.address.map(TcpStream::connect) else { return (None, None) };
+        let _ = stream.set_nodelay(true);
+        let entry = self.all.vacant_entry();
+        let key = entry.key();
+        if registry.register(&mut stream, token(key), Interest::READABLE | Interest::WRITABLE).is_err() {
+            return (None, None);
+        }
+        self.serial += 1;
+        node.connections.push(key);
+        entry.insert(Connection {
+            stream,
+            node: server,
+            serial: self.serial,
+            up: false,
+            queue: VecDeque::new(),
+            out: Vec::new(),
+            writing: None,
+            sent: VecDeque::new(),
+            live: 0,
+            parser: ReplyParser::default(),
+            reply: Vec::new(),
+            long: false,
+            paused: false,
+            moved: now,
+            rested: 0,
+            used: false,
+        });
+        (Some(key), Some(self.serial))
+    }
+
+    /// Closes the connection that was idle longest, to make room for one to another node.
+    fn evict(&mut self) -> bool {
+        let idle = self.all.iter().filter(|(_, c)| c.depth() == 0).min_by_key(|(_, c)| c.moved);
+        let Some((key, _)) = idle else { return false };
+        self.close(key);
+        true
+    }
+
+    fn end(&mut self, job: Job, status: Status) {
+        self.news.push_back(News::Ended(job.id, job.attempt, status, Reply::default()));
+    }
+
+    /// Stops waiting for an attempt; `false` if it is not on this connection. Closing a connection calls off
+    /// all attempts on it, so it is closed only if nobody waits for another one.
+    pub fn cancel(&mut self, key: usize, id: RequestId, attempt: u32) -> bool {
+        let Some(c) = self.all.get_mut(key) else { return false };
+        if let Some(at) = c.queue.iter().position(|j| (j.id, j.attempt) == (id, attempt)) {
+            c.queue.remove(at);
+        } else if c.writing.as_ref().is_some_and(|w| (w.job.id, w.job.attempt) == (id, attempt)) {
+            // Danger: to write the rest would send something for a request that is over.
+            c.writing = None;
+            self.close(key);
+            return true;
+        } else if let Some(slot) = c.sent.iter_mut().find(|s| **s == Some((id, attempt))) {
+            *slot = None;
+            c.live -= 1;
+        } else {
+            return false;
+        }
+        if c.deserted() && !c.sent.is_empty() {
+            self.close(key);
+        } else if c.long && c.sent.front() == Some(&None) {
+            // Danger: held up for a client that has gone, the connection would never be read again, and the
+            // answers behind the long value would not come.
+            self.resume(key);
+        }
+        true
+    }
+
+    /// Has the attempt's last byte been written?
+    pub fn is_written(&self, key: usize, id: RequestId, attempt: u32) -> bool {
+        self.all.get(key).is_some_and(|c| c.sent.contains(&Some((id, attempt))))
+    }
+
+    /// Ends a connection that did not come up in time.
+    pub fn connect_timeout(&mut self, key: usize, serial: u64) {
+        if self.all.get(key).is_some_and(|c| c.serial == serial && !c.up) {
+            self.close(key);
+        }
+    }
+
+    /// Closes a connection that its node has ended.
+    ///
+    /// Danger: nodes may end idle connections sooner than stated, without a word: the next request on each is
+    /// reset and may have run. An idle time that was too long is not tried again soon, at this node, and at
+    /// all once a second node did the same.
+    fn lost(&mut self, key: usize, now: Nanos) {
+        let Some(c) = self.all.get(key) else { return };
+        let crossed = c.sent.len() == 1 && c.reply.is_empty() && now.saturating_sub(c.moved) < CROSSED;
+        if crossed && c.rested > 0 {
+            let (node, rested) = (c.node, c.rested);
+            let shorter = |fresh: Nanos, rested: Nanos| fresh.min((rested * 9 / 10).max(LEAST_FRESH));
+            self.nodes.entry(node).and_modify(|n| n.fresh = shorter(n.fresh, rested));
+            if let Some((_, before)) = self.early.filter(|(other, _)| *other != node) {
+                self.fresh = shorter(self.fresh, rested.max(before));
+            }
+            self.early = Some((node, rested));
+        }
+        self.close(key);
+    }
+
+    /// Closes a connection and tells what became of the attempts on it.
+    pub fn close(&mut self, key: usize) {
+        let Some(c) = self.all.try_remove(key) else { return };
+        if let Some(node) = self.nodes.get_mut(&c.node) {
+            node.connections.retain(|k| *k != key);
+        }
+        for (at, sent) in c.sent.into_iter().enumerate() {
+            match sent {
+                Some((id, attempt)) if at == 0 && c.long => self.news.push_back(News::Broke(id, attempt)),
+                Some((id, attempt)) => {
+                    self.news.push_back(News::Ended(id, attempt, Status::Reset, Reply::default()));
+                }
+                None => {}
+            }
+        }
+        for job in c.writing.map(|w| w.job).into_iter().chain(c.queue) {
+            self.end(job, Status::ConnectFailed);
+        }
+    }
+
+    /// Holds up a connection whose client does not keep up.
+    pub fn pause(&mut self, key: usize) {
+        self.all.get_mut(key).into_iter().for_each(|c| c.paused = true);
+    }
+
+    /// Goes on with a connection that was held up.
+    pub fn resume(&mut self, key: usize) {
+        if let Some(c) = self.all.get_mut(key).filter(|c| c.paused) {
+            c.paused = false;
+            self.again.push(key);
+        }
+    }
+
+    /// Drives a connection as far as its socket allows, up to a bound.
+    pub fn ready(&mut self, key: usize, closed: bool, buffer: &mut [u8], now: Nanos) {
+        let Some(c) = self.all.get_mut(key) else { return };
+        if !c.up {
+            match (c.stream.take_error(), c.stream.peer_addr()) {
+                (Ok(None), Ok(_)) => c.up = true,
+                (Ok(None), Err(e)) if e.kind() == io::ErrorKind::NotConnected => return,
+                _ => {
+                    self.close(key);
+                    return;
+                }
+            }
+        }
+        self.flush(key, now);
+        for _ in 0..READS {
+            let Some(c) = self.all.get_mut(key).filter(|c| !c.paused) else { return };
+            match c.stream.read(buffer) {
+                Ok(0) => {
+                    self.lost(key, now);
+                    return;
+                }
+                Ok(n) => {
+                    c.moved = now;
+                    if !self.input(key, &buffer[..n]) {
+                        self.close(key);
+                        return;
+                    }
+                    // A short read emptied the socket; only an end of the stream may stand behind it.
+                    if n < buffer.len() && !closed {
+                        return;
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.lost(key, now);
+                    return;
+                }
+            }
+        }
+        self.again.push(key);
+    }
+
+    /// Takes replies; false if the connection can't be used any more.
+    fn input(&mut self, key: usize, mut input: &[u8]) -> bool {
+        while !input.is_empty() {
+            let Some(c) = self.all.get_mut(key) else { return true };
+            // Danger: an answer that nobody asked for would pass for the next request's.
+            let Some(front) = c.sent.front().copied() else { return false };
+            let Ok((used, found)) = c.parser.feed(input) else { return false };
+            let part = &input[..used];
+            input = &input[used..];
+            if let (Some((id, _)), true, Found::Nothing) = (front, c.long, &found) {
+                self.news.push_back(News::More(id, key, part.to_vec()));
+                continue;
+            }
+            if front.is_some() {
+                c.reply.extend_from_slice(part);
+            }
+            match (found, front) {
+                (Found::Nothing, _) | (Found::Long, None) => {}
+                (Found::Long, Some((id, attempt))) => {
+                    c.long = true;
+                    self.news.push_back(News::Began(id, attempt, key, std::mem::take(&mut c.reply)));
+                }
+                (Found::End(reply), front) => {
+                    let bytes = std::mem::take(&mut c.reply);
+                    let long = std::mem::take(&mut c.long);
+                    c.sent.pop_front();
+                    c.used = true;
+                    let Some((id, attempt)) = front else { continue };
+                    c.live -= 1;
+                    self.news.push_back(match reply.kind {
+                        Kind::Served if long => News::Last(id, attempt, reply, bytes),
+                        Kind::Served => News::Served(id, attempt, reply, bytes),
+                        Kind::Busy => News::Ended(id, attempt, Status::Full, reply),
+                        Kind::Failed | Kind::Status => News::Ended(id, attempt, Status::Error, reply),
+                    });
+                }
+            }
+        }
+        // Only attempts that are over are left: closing spares the node their work.
+        self.all.get(key).is_none_or(|c| !c.deserted() || c.sent.is_empty())
+    }
+
+    /// Writes what the socket takes, each attempt checked when its turn comes.
+    fn flush(&mut self, key: usize, now: Nanos) {
+        while let Some(c) = self.all.get_mut(key) {
+            if c.writing.is_none() {
+                let Some(job) = c.queue.pop_front() else { return };
+                let ready = self.nodes.get(&c.node).is_some_and(|n| n.state == State::Ready);
+                // Danger: while it waited, its node may have begun to drain and its time may have gone by.
+                if !ready || job.until <= now {
+                    let status = if ready { Status::ConnectFailed } else { Status::Moot };
+                    self.end(job, status);
+                    continue;
+                }
+                // A connection that has just come up has not been idle.
+                c.rested = if c.used && c.sent.is_empty() { now.saturating_sub(c.moved) } else { 0 };
+                c.out.clear();
+                job.query.encode(((job.until - now) / MS).max(1), &mut c.out);
+                let long = job.query.value().len() > COPIED;
+                if job.query.write && !long {
+                    c.out.extend_from_slice(job.query.value());
+                    c.out.extend_from_slice(b"\r\n");
+                }
+                c.writing = Some(Writing { job, written: 0, long });
+            }
+            let Some(w) = &mut c.writing else { return };
+            let value: &[u8] = if w.long { w.job.query.value() } else { &[] };
+            let end: &[u8] = if w.long { b"\r\n" } else { &[] };
+            let total = c.out.len() + value.len() + end.len();
+            let mut skip = w.written;
+            let parts = [&c.out[..], value, end].map(|part| {
+                let n = skip.min(part.len());
+                skip -= n;
+                IoSlice::new(&part[n..])
+            });
+            let wrote = if w.long { c.stream.write_vectored(&parts) } else { c.stream.write(&parts[0]) };
+            match wrote {
+                Ok(n) => {
+                    w.written += n;
+                    c.moved = now;
+                    if w.written == total {
+                        c.sent.push_back(Some((w.job.id, w.job.attempt)));
+                        c.live += 1;
+                        c.writing = None;
+                        c.out.shrink_to(LONG_VALUE);
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.close(key);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Closes what stood idle too long, and what fell silent within a long value.
+    pub fn sweep(&mut self, now: Nanos) {
+        let passed = now.saturating_sub(std::mem::replace(&mut self.swept, now)).min(1_000 * MS);
+        let growth = 1.0 + REGROWTH * passed as f64 / (1_000 * MS) as f64;
+        let grown = |fresh: Nanos| ((fresh as f64 * growth) as Nanos).min(self.stated);
+        self.nodes.values_mut().for_each(|n| n.fresh = grown(n.fresh));
+        self.fresh = grown(self.fresh);
+        let over = |c: &Connection| {
+            let fresh = self.nodes.get(&c.node).map_or(0, |n| n.fresh).min(self.fresh);
+            let since = now.saturating_sub(c.moved);
+            (c.depth() == 0 && c.up && since >= fresh) || (c.long && !c.paused && since >= STALLED)
+        };
+        let over: Vec<usize> = self.all.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
+        over.into_iter().for_each(|key| self.close(key));
+    }
+}
--- /dev/null
+++ b/tests/common/net.rs
@@ -0,0 +1,344 @@
+//! The proxy's binary between a scripted client, scripted cache nodes and a scripted discovery, over loopback.
+//! A test plays all of them in turn from one thread; whatever does not come within `PATIENCE` fails it.
+#![allow(dead_code)]
+
+use serde_json::{json, Value};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An address of this process alone, so that no other test can take a port between its choice and its use.
+fn own_address() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let pid = std::process::id();
+    let host = NEXT.fetch_add(1, Ordering::Relaxed);
+    IpAddr::V4(Ipv4Addr::new(127, 16 + (pid >> 8) as u8 % 200, pid as u8, host))
+}
+
+/// An address at which nobody listens.
+pub fn nobody() -> SocketAddr {
+    TcpListener::bind((own_address(), 0)).and_then(|l| l.local_addr()).expect("a free port")
+}
+
+/// One or more listeners, whose connections a test takes one by one.
+pub struct Server {
+    pub addresses: Vec<SocketAddr>,
+    accepted: Receiver<(usize, TcpStream)>,
+}
+
+impl Server {
+    pub fn start() -> Server {
+        Server::many(1)
+    }
+
+    pub fn many(count: usize) -> Server {
+        let (sender, accepted) = channel();
+        let listen = |at| {
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a listener");
+            let address = listener.local_addr().expect("an address");
+            let sender = sender.clone();
+            std::thread::spawn(move || {
+                while let Ok((stream, _)) = listener.accept() {
+                    if sender.send((at, stream)).is_err() {
+                        return;
+                    }
+                }
+            });
+            address
+        };
+        Server { addresses: (0..count).map(listen).collect(), accepted }
+    }
+
+    /// The next connection.
+    pub fn accept(&self) -> Peer {
+        let (at, stream) = self.accepted.recv_timeout(PATIENCE).expect("a connection");
+        Peer { at, ..Peer::new(stream) }
+    }
+
+    /// The next command on any of these connections or on a new one, which joins them; tells which.
+    pub fn any(&self, peers: &mut Vec<Peer>) -> (usize, Vec<String>) {
+        let begun = Instant::now();
+        while begun.elapsed() < PATIENCE {
+            if let Ok((at, stream)) = self.accepted.try_recv() {
+                peers.push(Peer { at, ..Peer::new(stream) });
+            }
+            for (i, peer) in peers.iter_mut().enumerate() {
+                if peer.has_input() {
+                    return (i, peer.command());
+                }
+            }
+        }
+        panic!("no command came");
+    }
+
+    /// True if no connection has come by now.
+    pub fn is_untouched(&self) -> bool {
+        self.accepted.try_recv().is_err()
+    }
+
+    /// Takes the next connection and the command on it.
+    pub fn command(&self) -> (Peer, Vec<String>) {
+        let mut peer = self.accept();
+        let command = peer.command();
+        (peer, command)
+    }
+}
+
+/// One end of a connection, with its input.
+pub struct Peer {
+    pub stream: TcpStream,
+    /// Which of a server's listeners accepted it.
+    pub at: usize,
+    input: Vec<u8>,
+}
+
+impl Peer {
+    fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        stream.set_write_timeout(Some(PATIENCE)).expect("a time-out");
+        stream.set_nodelay(true).expect("no delay");
+        Peer { stream, at: 0, input: Vec::new() }
+    }
+
+    pub fn connect(address: SocketAddr) -> Peer {
+        Peer::new(TcpStream::connect(address).expect("connected"))
+    }
+
+    pub fn send(&mut self, bytes: impl AsRef<[u8]>) {
+        self.stream.write_all(bytes.as_ref()).expect("written");
+    }
+
+    /// Looks for input for a millisecond.
+    fn has_input(&mut self) -> bool {
+        self.stream.set_read_timeout(Some(Duration::from_millis(1))).expect("a time-out");
+        let come = self.stream.peek(&mut [0]).is_ok_and(|n| n > 0);
+        self.stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        come || !self.input.is_empty()
+    }
+
+    /// Reads more input; false at the end of the connection.
+    fn more(&mut self) -> bool {
+        let mut buffer = [0; 64 << 10];
+        match self.stream.read(&mut buffer) {
+            Ok(0) => false,
+            Ok(n) => {
+                self.input.extend_from_slice(&buffer[..n]);
+                true
+            }
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => false,
+            Err(e) => panic!("nothing came: {e}"),
+        }
+    }
+
+    /// The next so many bytes.
+    pub fn take(&mut self, length: usize) -> Vec<u8> {
+        while self.input.len() < length {
+            assert!(self.more(), "closed after {:?}", String::from_utf8_lossy(&self.input));
+        }
+        self.input.drain(..length).collect()
+    }
+
+    /// The next line, without its end.
+    pub fn line(&mut self) -> String {
+        loop {
+            if let Some(at) = self.input.windows(2).position(|w| w == b"\r\n") {
+                let line = self.take(at + 2);
+                return String::from_utf8_lossy(&line[..at]).into_owned();
+            }
+            assert!(self.more(), "closed after {:?}", String::from_utf8_lossy(&self.input));
+        }
+    }
+
+    fn bulk(&mut self) -> String {
+        let head = self.line();
+        let Some(length) = head.strip_prefix('$').and_then(|n| n.parse::<i64>().ok()) else { return head };
+        let Ok(length) = usize::try_from(length) else { return head };
+        let body = self.take(length + 2);
+        String::from_utf8_lossy(&body[..length]).into_owned()
+    }
+
+    /// The next command or array.
+    pub fn command(&mut self) -> Vec<String> {
+        let head = self.line();
+        let Some(count) = head.strip_prefix('*') else { return vec![head] };
+        (0..count.parse().expect("a count")).map(|_| self.bulk()).collect()
+    }
+
+    /// All bytes up to the end of the connection.
+    pub fn rest(&mut self) -> Vec<u8> {
+        while self.more() {}
+        std::mem::take(&mut self.input)
+    }
+
+    /// Closes the connection with a reset.
+    pub fn reset(self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        socket.set_linger(Some(Duration::ZERO)).expect("linger");
+    }
+
+    pub fn get(&mut self, key: u64, class: &str, wait_ms: u64) {
+        self.send(encode(&["CACHE.GET", &format!("{key:016x}"), "9b1f", &format!("c={class},d={wait_ms}")]));
+    }
+
+    pub fn set(&mut self, key: u64, class: &str, wait_ms: u64, value: &str) {
+        let fields = format!("c={class},d={wait_ms},k=5c0f");
+        self.send(encode(&["CACHE.SET", &format!("{key:016x}"), "9b1f", &fields, value]));
+    }
+
+    /// Answers the list of discovery that was asked for on this connection.
+    pub fn list(&mut self, list: &Value) {
+        let body = list.to_string();
+        self.send(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    }
+
+    /// The target of the next HTTP request.
+    pub fn request(&mut self) -> String {
+        let first = self.line();
+        while !self.line().is_empty() {}
+        first.split(' ').nth(1).expect("a target").to_owned()
+    }
+}
+
+/// A command as clients write it.
+pub fn encode(args: &[&str]) -> Vec<u8> {
+    let mut out = format!("*{}\r\n", args.len());
+    args.iter().for_each(|a| out.push_str(&format!("${}\r\n{a}\r\n", a.len())));
+    out.into_bytes()
+}
+
+/// A cache node's answer to a read that hit.
+pub fn hit(value: &str) -> Vec<u8> {
+    format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()).into_bytes()
+}
+
+pub fn host(name: &str, address: SocketAddr, health: &str) -> Value {
+    json!({"host": name, "dial": address.to_string(), "site": "a", "class": "m1", "block": 0, "health": health,
+        "share": 1.0, "born_ms": 0})
+}
+
+pub fn list(version: u64, whole: bool, hosts: &[Value]) -> Value {
+    json!({"seq": version, "whole": whole, "hosts": hosts})
+}
+
+/// A proxy that knows these cache nodes; `edit` changes its configuration. Classes: `read` is safe, `put`
+/// keyed at all nodes, `once` unsafe.
+pub struct Proxy {
+    pub address: SocketAddr,
+    pub child: Child,
+}
+
+/// A configuration that names these cache nodes, for a listener at an address of its own.
+pub fn config(nodes: &[SocketAddr]) -> Value {
+    let hosts: Vec<Value> = (0..).zip(nodes).map(|(i, a)| host(&format!("s-{i}"), *a, "up")).collect();
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "promise_ns": 20_000_000_000u64, "deadline_ns": 20_000_000_000u64, "effect": effect,
+            "group": "all", "dedup_window_ns": 5_000_000_000u64, "value": 1.0, "late_value": 0.0, "stream": false})
+    };
+    json!({
+        "name": "n0", "listen": nobody().to_string(), "discovery": "127.0.0.1:1",
+        "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 1024},
+        "known": list(41, true, &hosts),
+        "settings": {
+            "n_instances": 1, "self_index": 0, "zone": 0, "localities": ["a"], "machine_types": ["m1"],
+            "categories": [class("read", "safe"), class("put", "keyed"), class("once", "unsafe")],
+            "caps": {"attempts_cap": 3, "cancelling": true, "second_copies": true, "max_open": 1000,
+                "streams_per_conn": 32, "conn_idle_ns": 60_000_000_000u64,
+                "connect_timeout_ns": 15_000_000_000u64, "max_retry_after_ns": 1_000_000_000u64},
+            "rules": {"cold_from": 0.2, "cold_ns": 0, "fall_multiple": 3.0, "fall_ns": 1_000_000_000u64,
+                "drain_grace_ns": 500_000_000u64, "must_ask_in_ns": 10_000_000_000u64},
+            "discovery": "automatic", "family_info": {"mode": "through", "origin_kind": -1},
+            "report": {"columns": []}, "worth_by": "request",
+        },
+    })
+}
+
+/// Runs the binary on a configuration.
+pub fn launch(config: &str) -> Child {
+    launch_by(Command::new(env!("CARGO_BIN_EXE_trestlesill")), config)
+}
+
+fn launch_by(mut program: Command, config: &str) -> Child {
+    static NEXT: AtomicU8 = AtomicU8::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("trestlesill-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config).expect("the configuration is written");
+    program.env("NODE_CONFIG", &path).env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY");
+    program.stderr(Stdio::piped()).spawn().expect("the proxy starts")
+}
+
+impl Proxy {
+    pub fn start(nodes: &Server) -> Proxy {
+        Proxy::with(nodes, |_| {})
+    }
+
+    pub fn with(nodes: &Server, edit: impl FnOnce(&mut Value)) -> Proxy {
+        let mut config = config(&nodes.addresses);
+        edit(&mut config);
+        Proxy::by(Command::new(env!("CARGO_BIN_EXE_trestlesill")), config)
+    }
+
+    /// A proxy that can have no more than so many descriptors, whatever its configuration says.
+    pub fn starved(nodes: &Server, descriptors: u32) -> Proxy {
+        let mut shell = Command::new("/bin/sh");
+        let program = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_trestlesill"));
+        shell.args(["-c", &program]);
+        Proxy::by(shell, config(&nodes.addresses))
+    }
+
+    fn by(program: Command, config: Value) -> Proxy {
+        let address = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
+        let proxy = Proxy { address, child: launch_by(program, &config.to_string()) };
+        let begun = Instant::now();
+        while TcpStream::connect(address).is_err() {
+            assert!(begun.elapsed() < PATIENCE, "the proxy does not listen");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        proxy
+    }
+
+    pub fn client(&self) -> Peer {
+        Peer::connect(self.address)
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        let begun = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("waited") {
+                return status;
+            }
+            assert!(begun.elapsed() < PATIENCE, "the proxy does not end");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// A field of the process's status, in kB where it is a size.
+    pub fn status(&self, field: &str) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a status");
+        let line = text.lines().find_map(|l| l.strip_prefix(field)).expect("the field");
+        line.trim_start_matches(':').split_whitespace().next().and_then(|n| n.parse().ok()).expect("a number")
+    }
+
+    /// The proxy lives and serves: for the end of tests that mistreat it.
+    pub fn is_well(&self) {
+        let mut client = self.client();
+        client.send(encode(&["PING"]));
+        assert_eq!(client.line(), "+PONG");
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,555 @@
+//! The module's decisions, one behaviour a test.
+
+mod common;
+use calicosaddle::api::*;
+use common::*;
+use std::collections::BTreeMap;
+
+const KEY: u64 = 0xabcdef;
+
+/// Where each of many keys goes first, at a proxy with this history of lists that has seen some traffic.
+fn homes(histories: &[(ListKind, Vec<Entry>)]) -> BTreeMap<u64, ServerId> {
+    let mut p = Proxy::new(settings(), 5);
+    for (kind, entries) in histories {
+        p.list(*kind, entries.clone());
+    }
+    p.crowd(0..300);
+    (0..400u64).map(|key| (key, p.served(key * 0x1234_5677, true))).collect()
+}
+
+#[test]
+fn straight_hits_pin_and_the_pin_stays_through_misses() {
+    let mut p = Proxy::with(settings(), entries(0..20));
+    p.crowd(0..300);
+    let first = p.served(KEY, true);
+    for _ in 0..3 {
+        assert_eq!(p.served(KEY, true), first);
+        p.crowd(0..100);
+    }
+    for _ in 0..4 {
+        assert_eq!(p.served(KEY, false), first, "a pinned bucket stays");
+        p.crowd(0..100);
+    }
+}
+
+#[test]
+fn misses_move_an_undecided_bucket_to_its_other_candidate() {
+    let mut p = Proxy::with(settings(), entries(0..20));
+    p.crowd(0..300);
+    let mut asked = Vec::new();
+    for _ in 0..8 {
+        asked.push(p.served(KEY, false));
+        p.crowd(0..100);
+    }
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked.len(), 2, "sigma candidates, and no other server");
+}
+
+#[test]
+fn a_pin_reopens_when_its_server_is_gone() {
+    let mut p = Proxy::with(settings(), entries(0..20));
+    p.crowd(0..300);
+    let first = p.served(KEY, true);
+    for _ in 0..4 {
+        p.served(KEY, true);
+        p.crowd(0..100);
+    }
+    let gone = entries(0..20).into_iter().find(|e| e.server == first).expect("listed");
+    p.list(ListKind::Delta, vec![Entry { state: State::Gone, ..gone }]);
+    let next = p.served(KEY, true);
+    assert_ne!(next, first);
+    p.crowd(0..100);
+    assert_eq!(p.served(KEY, true), next);
+}
+
+#[test]
+fn candidates_do_not_depend_on_the_history_of_the_list() {
+    let full = entries(0..30);
+    let mut reversed = full.clone();
+    reversed.reverse();
+    let straight = homes(&[(ListKind::Cached, full.clone())]);
+    let other = homes(&[
+        (ListKind::Cached, entries(10..60)),
+        (ListKind::Full, entries(25..50)),
+        (ListKind::Full, reversed),
+    ]);
+    assert_eq!(straight, other);
+}
+
+#[test]
+fn a_removed_server_disturbs_only_its_own_keys() {
+    let before = homes(&[(ListKind::Cached, entries(0..30))]);
+    let after = homes(&[(ListKind::Cached, entries(1..30))]);
+    let removed = entry(0).server;
+    for (key, home) in &before {
+        if *home != removed {
+            assert_eq!(after[key], *home);
+        }
+    }
+    assert!(before.values().any(|h| *h == removed));
+}
+
+#[test]
+fn weights_decide_how_many_keys_a_server_gets() {
+    let mut list = entries(0..10);
+    list[0].weight = 4.0;
+    let heavy = list[0].server;
+    let homes = homes(&[(ListKind::Cached, list)]);
+    let part = homes.values().filter(|h| **h == heavy).count();
+    assert!((80..180).contains(&part), "4 of 13 parts of 400 keys, not {part}");
+}
+
+#[test]
+fn a_draining_server_gets_nothing_new() {
+    let mut list = entries(0..3);
+    let mut p = Proxy::with(settings(), list.clone());
+    list[0].state = State::Draining;
+    p.list(ListKind::Delta, vec![list[0].clone()]);
+    for key in 0..200 {
+        assert_ne!(p.served(key * 977, true), list[0].server);
+    }
+}
+
+#[test]
+fn a_hot_key_is_spread_over_several_servers() {
+    let mut p = Proxy::with(settings(), entries(0..20));
+    let mut asked = std::collections::BTreeSet::new();
+    for i in 0..200u64 {
+        p.now += 2 * MS;
+        asked.insert(p.served(if i % 2 == 0 { KEY } else { i * 7919 }, true));
+        p.now += 2 * MS;
+    }
+    let on_key: std::collections::BTreeSet<_> = (0..20).map(|_| p.served(KEY, true)).collect();
+    assert!(on_key.len() >= 4, "half of all traffic on {} servers", on_key.len());
+}
+
+#[test]
+fn a_silent_server_is_left_and_tried_again_later() {
+    let mut p = Proxy::with(settings(), entries(0..20));
+    p.crowd(0..100);
+    let first = p.served(KEY, true);
+    let mut left = false;
+    for _ in 0..3 {
+        let (id, actions) = p.ask(KEY);
+        let server = sent(&actions).expect("sent");
+        left |= server != first;
+        p.now += 400 * MS;
+        p.end_after(id, 0, server, Status::Timeout, None, 400 * MS);
+        p.crowd(0..5);
+    }
+    assert!(left, "time-outs in a row must send the key elsewhere");
+    p.now += 60 * SECOND;
+    p.crowd(0..300);
+    let mut back = Vec::new();
+    for _ in 0..4 {
+        back.push(p.served(KEY, true));
+        p.crowd(0..100);
+    }
+    assert!(back.contains(&first), "after its suspicion the server is tried again");
+}
+
+#[test]
+fn a_cold_server_gets_no_more_than_it_can_bear() {
+    // Danger: a burst of hot keys soon after a start pushes a cold server over for good.
+    let mut list = entries(0..4);
+    let mut p = Proxy::with(settings(), list.clone());
+    for i in 0..2000u64 {
+        p.now += 2 * MS;
+        p.served(i * 7919, true);
+    }
+    list[0].started = p.now;
+    let cold = list[0].server;
+    p.list(ListKind::Delta, vec![list[0].clone()]);
+    let mut to_cold = 0;
+    for i in 0..45u64 {
+        to_cold += usize::from(p.served(i * 7919, true) == cold);
+    }
+    // 45 requests in 0.9 s over four servers, one of them at a fifth: at three times that it would fall.
+    assert!(to_cold <= 7, "{to_cold} of 45");
+}
+
+#[test]
+fn a_restarted_proxy_keeps_the_cold_budget() {
+    let mut list = entries(0..4);
+    list[0].started = 999 * SECOND;
+    let mut p = Proxy::with(settings(), list.clone());
+    let to_cold = (0..200u64).filter(|i| p.served(i * 7919, true) == list[0].server).count();
+    assert!(to_cold <= 30, "{to_cold} of 200 at a proxy that knows nothing yet");
+}
+
+#[test]
+fn a_jam_is_shed_and_clears() {
+    // Danger: repeats keep servers jammed that go on with work nobody waits for.
+    let mut p = Proxy::with(settings(), entries(0..10));
+    p.crowd(0..50);
+    let mut refused = 0;
+    for i in 0..400u64 {
+        p.now += 20 * MS;
+        let (id, actions) = p.ask(i * 7919);
+        match sent(&actions) {
+            Some(_) => drop(p.event(Event::Expired(id))),
+            None => refused += 1,
+        }
+    }
+    assert!(refused > 200, "{refused} of 400 refused while nothing is served");
+    for i in 0..2000u64 {
+        p.now += 20 * MS;
+        let (id, actions) = p.ask(i * 7919);
+        if let Some(server) = sent(&actions) {
+            p.end(id, 0, server, Status::Ok, Some(true));
+        }
+    }
+    let taken = (0..100u64).filter(|i| sent(&p.ask(i * 7919).1).is_some()).count();
+    assert_eq!(taken, 100, "all is taken again once it is served");
+}
+
+#[test]
+fn the_last_try_of_a_client_does_not_make_first_tries_look_late() {
+    // Danger: a last try is given all the time left, more than a first one; refusing by the longest time seen
+    // refuses nearly everything for good.
+    let mut p = Proxy::with(settings(), entries(0..10));
+    p.crowd(0..50);
+    let long = Request { key: Some(1), remaining: 790 * MS, ..Request::default() };
+    p.ask_as(long);
+    for i in 0..300u64 {
+        p.now += 10 * MS;
+        let (id, _) = p.ask_as(Request { key: Some(i), remaining: 500 * MS, ..Request::default() });
+        if i < 40 {
+            p.event(Event::Expired(id));
+        }
+    }
+    let mut taken = 0;
+    for i in 0..1500u64 {
+        p.now += 10 * MS;
+        let (id, a) = p.ask_as(Request { key: Some(i * 31), remaining: 500 * MS, ..Request::default() });
+        if let Some(server) = sent(&a) {
+            taken += 1;
+            p.end(id, 0, server, Status::Ok, Some(true));
+        }
+    }
+    assert!(taken > 800, "{taken} of 1500 taken");
+}
+
+#[test]
+fn a_slow_answer_is_hedged_once_and_the_loser_cancelled() {
+    let mut p = Proxy::with(settings(), entries(0..10));
+    p.crowd(0..100);
+    let (id, actions) = p.ask(KEY);
+    let first = sent(&actions).expect("sent");
+    let token =
+        actions.iter().find_map(|a| if let Action::Timer { token, .. } = a { Some(*token) } else { None });
+    p.now += 150 * MS;
+    let second = sent(&p.event(Event::Timer(token.expect("timer")))).expect("hedged");
+    assert_ne!(first, second);
+    let actions = p.end(id, 1, second, Status::Ok, Some(true));
+    assert!(actions.contains(&Action::Cancel { id, attempt: 0 }));
+}
+
+#[test]
+fn no_servers_no_time_and_odd_settings_are_answered() {
+    let mut p = Proxy::with(Settings::default(), Vec::new());
+    let (_, actions) = p.ask(1);
+    assert_eq!(finals(&actions), 1);
+    let mut p = Proxy::with(settings(), entries(0..3));
+    let (_, actions) = p.ask_as(Request { class: 9, key: None, remaining: 0, ..Request::default() });
+    assert_eq!(finals(&actions), 1);
+    let mut odd = entry(1);
+    odd.weight = f64::NAN;
+    p.list(ListKind::Full, vec![odd]);
+    assert!(sent(&p.ask(5).1).is_some());
+    assert!(p.end(999, 7, 1, Status::Ok, None).is_empty());
+    assert!(p.event(Event::Timer(u64::MAX)).is_empty());
+}
+
+#[test]
+fn aside_misses_and_writes_go_to_the_origin_and_nothing_else_does() {
+    let mut s = settings();
+    s.aside = true;
+    s.origin_kind = Some(5);
+    let mut list = entries(0..6);
+    list[2].kind = 5;
+    let origin = list[2].server;
+    let mut p = Proxy::with(s, list);
+    for key in 0..50 {
+        assert_ne!(p.served(key * 7919, true), origin);
+    }
+    let (id, actions) = p.ask(KEY);
+    let server = sent(&actions).expect("sent");
+    let actions = p.end(id, 0, server, Status::Miss, Some(false));
+    assert_eq!(sent(&actions), Some(origin));
+    let write = Request { key: Some(1), write: true, remaining: 500 * MS, ..Request::default() };
+    assert_eq!(sent(&p.ask_as(write).1), Some(origin));
+}
+
+#[test]
+fn the_list_is_followed_and_asked_for_again_in_time_after_failures() {
+    let mut s = settings();
+    s.must_ask = true;
+    let mut p = Proxy::new(s.clone(), 3);
+    let mut actions = p.list(ListKind::Cached, entries(0..5));
+    for _ in 0..6 {
+        let timer = actions.iter().rev().find_map(|a| match a {
+            Action::Timer { token, delay } => Some((*token, *delay)),
+            _ => None,
+        });
+        let (token, delay) = timer.expect("armed");
+        assert!(delay < s.must_ask_in);
+        p.now += delay;
+        assert!(p.event(Event::Timer(token)).contains(&Action::Subscribe));
+        actions = p.list(ListKind::Failed, Vec::new());
+    }
+    assert!(sent(&p.ask(1).1).is_some(), "the old list stays in use");
+}
+
+#[test]
+fn a_cut_zone_is_left_alone_as_a_whole() {
+    // Danger: finding each of its servers silent by itself costs a lost request a server.
+    let list = entries(0..90);
+    let mut p = Proxy::with(settings(), list.clone());
+    let zone_of = |s: ServerId| list.iter().find(|e| e.server == s).map(|e| e.zone);
+    let mut lost = 0;
+    for i in 0..300u64 {
+        p.now += 10 * MS;
+        let (id, actions) = p.ask(i * 7919);
+        let Some(server) = sent(&actions) else { continue };
+        if zone_of(server) == Some(1) {
+            lost += 1;
+            p.end_after(id, 0, server, Status::Timeout, None, 400 * MS);
+            p.event(Event::Expired(id));
+        } else {
+            p.end(id, 0, server, Status::Ok, Some(true));
+        }
+    }
+    assert!((1..20).contains(&lost), "{lost} of 300 requests lost in 3 s to a zone of 30 servers");
+}
+
+#[test]
+fn while_shedding_buckets_that_hit_go_on_first() {
+    // Danger: where misses have jammed the origin, refusing hits gives up what can be served and frees nothing.
+    let mut p = Proxy::with(settings(), entries(0..10));
+    for _ in 0..10 {
+        for key in 0..20u64 {
+            p.now += 5 * MS;
+            p.served(key * 7919, true);
+        }
+    }
+    let (mut known, mut unknown) = (0, 0);
+    for i in 0..400u64 {
+        p.now += 10 * MS;
+        let hit = i % 2 == 0;
+        let key = if hit { i % 20 * 7919 } else { 0x1000_0000 + i * 7919 };
+        let (id, actions) = p.ask(key);
+        let Some(server) = sent(&actions) else { continue };
+        if hit {
+            known += 1;
+            p.end(id, 0, server, Status::Ok, Some(true));
+        } else {
+            unknown += 1;
+            p.event(Event::Expired(id));
+            p.end(id, 0, server, Status::Timeout, None);
+        }
+    }
+    assert!(known > unknown + 30, "{known} requests of hitting buckets taken, {unknown} of others");
+}
+
+#[test]
+fn fetches_that_fail_are_not_asked_again_elsewhere_while_the_origin_fails() {
+    // Danger: one failed fetch asked again at other servers is one fetch more for each at a failing origin.
+    let mut p = Proxy::with(settings(), entries(0..10));
+    p.crowd(0..200);
+    let (id, actions) = p.ask(0x7000_0001);
+    let lone = p.end(id, 0, sent(&actions).expect("sent"), Status::Error, None);
+    assert!(sent(&lone).is_some(), "a lone error is tried elsewhere");
+    let mut again = 0;
+    for i in 0..60u64 {
+        p.crowd(i * 10..i * 10 + 4);
+        let (id, actions) = p.ask(0x7000_1000 + i * 7919);
+        let Some(server) = sent(&actions) else { continue };
+        let after = p.end(id, 0, server, Status::Error, None);
+        again += usize::from(i >= 20 && sent(&after).is_some());
+    }
+    assert_eq!(again, 0, "errors tried again while a fifth of the outcomes are errors");
+}
+
+#[test]
+fn refused_connections_are_tried_elsewhere_far_beyond_the_budget() {
+    // Danger: with servers gone and the list late, a spent budget refuses what the next server could serve.
+    let mut p = Proxy::with(settings(), entries(0..60));
+    p.crowd(0..20);
+    let mut tried = 0;
+    for i in 0..20u64 {
+        p.now += 50 * MS;
+        let (id, actions) = p.ask(0x5000_0000 + i * 7919);
+        let first = sent(&actions).expect("sent");
+        let second = sent(&p.end(id, 0, first, Status::ConnectFailed, None));
+        tried += usize::from(second.is_some());
+        second.map(|s| p.end(id, 1, s, Status::Ok, Some(true)));
+    }
+    assert!(tried >= 18, "{tried} of 20 tried again");
+}
+
+fn aside() -> (Settings, Vec<Entry>, ServerId) {
+    let mut list = entries(0..12);
+    list.push(Entry { kind: 1, ..entry(99) });
+    (Settings { aside: true, origin_kind: Some(1), ..settings() }, list, server_id("server-99"))
+}
+
+/// Asks for fresh keys, lets each miss and ends the fetch at the origin with `status`; returns how many fetches
+/// there were.
+fn misses(p: &mut Proxy, origin: ServerId, keys: std::ops::Range<u64>, status: Status) -> usize {
+    let mut fetches = 0;
+    for k in keys {
+        p.now += 50 * MS;
+        let (id, actions) = p.ask(0x5000_0000 + k * 7919);
+        let Some(cache) = sent(&actions) else { continue };
+        assert_ne!(cache, origin);
+        let actions = p.end(id, 0, cache, Status::Miss, Some(false));
+        if sent(&actions) == Some(origin) {
+            fetches += 1;
+            p.now += 50 * MS;
+            let actions = p.end_after(id, 1, origin, status, None, 400 * MS);
+            assert_eq!(sent(&actions), None, "a failed fetch is not asked again at once");
+        }
+    }
+    fetches
+}
+
+#[test]
+fn a_jammed_origin_gets_fewer_fetches_and_hits_go_on() {
+    let (settings, list, origin) = aside();
+    let mut p = Proxy::with(settings, list);
+    misses(&mut p, origin, 0..100, Status::Timeout);
+    assert!(misses(&mut p, origin, 100..200, Status::Timeout) < 50, "the origin is spared");
+    for k in 0..50 {
+        p.now += 20 * MS;
+        p.served(0x7000_0000 + k * 7919, true);
+    }
+    misses(&mut p, origin, 200..500, Status::Ok);
+    assert!(misses(&mut p, origin, 500..600, Status::Ok) > 80, "and used again once it keeps up");
+}
+
+#[test]
+fn the_origins_times_do_not_make_caches_look_slow_or_silent() {
+    let (settings, list, origin) = aside();
+    let mut p = Proxy::with(settings, list);
+    p.crowd(0..200);
+    let (id, actions) = p.ask(KEY);
+    let cache = sent(&actions).expect("sent");
+    let actions = p.end(id, 0, cache, Status::Miss, Some(false));
+    assert_eq!(sent(&actions), Some(origin));
+    assert!(!actions.iter().any(|a| matches!(a, Action::Timer { .. })), "no second copy of a fetch");
+}
+
+#[test]
+fn a_bucket_seen_once_or_twice_by_a_thin_proxy_is_not_spread() {
+    let mut p = Proxy::with(settings(), entries(0..20));
+    let firsts: Vec<ServerId> = (0..20)
+        .map(|k| {
+            p.now += SECOND;
+            p.served(k, true)
+        })
+        .collect();
+    for (k, first) in firsts.iter().enumerate() {
+        p.now += SECOND;
+        assert_eq!(p.served(k as u64, true), *first);
+    }
+}
+
+#[test]
+fn a_heavy_request_that_takes_its_time_is_no_silent_server() {
+    let mut p = Proxy::with(settings(), entries(0..10));
+    let hinted =
+        |hint| Request { key: Some(KEY), hint: Some(hint), remaining: 800 * MS, ..Request::default() };
+    for _ in 0..40 {
+        p.now += 100 * MS;
+        let (id, actions) = p.ask_as(hinted(MS));
+        p.end(id, 0, sent(&actions).expect("sent"), Status::Ok, Some(true));
+    }
+    let wait = |actions: &[Action]| {
+        let delays = actions.iter().filter_map(|a| match a {
+            Action::Timer { delay, .. } => Some(*delay),
+            _ => None,
+        });
+        delays.min()
+    };
+    let usual = wait(&p.ask_as(hinted(MS)).1).expect("a timer");
+    let heavy = wait(&p.ask_as(hinted(10 * MS)).1).unwrap_or(Nanos::MAX);
+    assert!(heavy > usual * 2, "{heavy} against {usual}");
+}
+
+/// Connections closed while a proxy asks for 200 keys, `gap` apart.
+fn closed(settings: Settings, gap: Nanos, refused: bool) -> usize {
+    let mut p = Proxy::with(settings, entries(0..50));
+    let mut closed = 0;
+    for k in 0..200 {
+        p.now += gap;
+        let (id, actions) = p.ask(k * 7919);
+        let server = sent(&actions).expect("sent");
+        let mut actions = Vec::new();
+        if refused && k % 5 == 0 {
+            actions = p.end(id, 0, server, Status::ConnectFailed, None);
+        }
+        let n = u32::from(!actions.is_empty());
+        let server = sent(&actions).unwrap_or(server);
+        let actions = p.end(id, n, server, Status::Ok, Some(true));
+        closed += actions.iter().filter(|a| matches!(a, Action::Close(_))).count();
+    }
+    closed
+}
+
+#[test]
+fn connections_needed_again_too_late_are_closed() {
+    let priced = Settings { connection_price: 0.1, handshake_price: 0.1, proxies: 1000, ..settings() };
+    assert!(closed(priced.clone(), 200 * MS, false) > 150, "many thin proxies close");
+    assert_eq!(closed(Settings { proxies: 4, ..priced }, 5 * MS, false), 0, "few busy ones keep");
+    assert_eq!(closed(settings(), 200 * MS, false), 0, "without a price nothing is closed");
+    assert!(closed(settings(), 200 * MS, true) > 100, "unless servers refuse connections");
+}
+
+#[test]
+fn a_silent_origin_does_not_cut_off_the_caches_of_its_zone() {
+    let (settings, list, origin) = aside();
+    let mut p = Proxy::with(Settings { zone: 1, ..settings }, list.clone());
+    misses(&mut p, origin, 0..12, Status::Timeout);
+    let zone_of = |s: ServerId| list.iter().find(|e| e.server == s).map(|e| e.zone);
+    let asked: Vec<_> = (0..200u64).filter_map(|k| sent(&p.ask(k * 104_729).1)).map(zone_of).collect();
+    assert!(asked.iter().filter(|z| **z == Some(0)).count() > 20);
+}
+
+#[test]
+fn what_is_turned_away_at_once_is_no_jam() {
+    let mut p = Proxy::with(settings(), entries(0..20));
+    p.crowd(0..50);
+    let mut refused = 0;
+    for k in 0..200u64 {
+        p.now += 20 * MS;
+        let (id, mut actions) = p.ask(0x6000_0000 + k * 7919);
+        refused += u32::from(sent(&actions).is_none());
+        let mut n = 0;
+        while let Some(server) = sent(&actions) {
+            actions = p.end(id, n, server, Status::Full, None);
+            n += 1;
+        }
+    }
+    assert_eq!(refused, 0, "a request is sent, though the last ones met full servers");
+}
+
+#[test]
+fn where_proxies_fetch_full_servers_all_over_are_not_passed_on() {
+    let (settings, list, _) = aside();
+    let mut p = Proxy::with(settings, list);
+    p.crowd(0..100);
+    let mut passed = 0;
+    for k in 0..100u64 {
+        p.now += 20 * MS;
+        let (id, actions) = p.ask(0x8000_0000 + k * 7919);
+        let server = sent(&actions).expect("sent");
+        let actions = p.end(id, 0, server, Status::Full, None);
+        if let Some(next) = sent(&actions) {
+            passed += 1;
+            p.end(id, 1, next, Status::Ok, Some(true));
+        }
+    }
+    assert!((1..10).contains(&passed), "one by one they are, all over they are not: {passed}");
+}
--- /dev/null
+++ b/tests/proxy.rs
@@ -0,0 +1,621 @@
+//! The real proxy from outside: the built binary between scripted clients, cache nodes and discovery.
+
+#[path = "common/net.rs"]
+mod net;
+
+use net::*;
+use serde_json::json;
+use std::collections::VecDeque;
+use std::io::Read;
+
+/// A write's receipt.
+const RECEIPT: &str = "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
+
+/// Starts a proxy that sends a request twice at the most.
+fn twice(nodes: &Server) -> Proxy {
+    Proxy::with(nodes, |c| c["settings"]["caps"]["attempts_cap"] = json!(2))
+}
+
+#[test]
+fn reads_and_writes_pass_unchanged_but_for_the_wait() {
+    let node = Server::start();
+    let proxy = Proxy::start(&node);
+    let mut client = proxy.client();
+    client.send(encode(&["CACHE.GET", "7f3a9c21e0b4d655", "1d", "c=read,size=3,d=9000,h=5,x=1"]));
+    let (mut at_node, command) = node.command();
+    assert_eq!(command[..3], ["CACHE.GET", "7f3a9c21e0b4d655", "1d"]);
+    let wait = command[3].strip_prefix("c=read,size=3,d=").and_then(|f| f.strip_suffix(",h=5,x=1"));
+    let wait: u64 = wait.and_then(|w| w.parse().ok()).expect("the fields as they were");
+    assert!(wait > 0 && wait < 9_000, "{wait}");
+    at_node.send(hit("value"));
+    assert_eq!(client.command(), ["value", "hit", "$-1"]);
+    // The connection serves again; a write keeps its key and value.
+    client.set(1, "put", 9_000, "two\r\nlines");
+    let command = at_node.command();
+    assert!(command[3].starts_with("c=put,d=") && command[3].ends_with(",k=5c0f"), "{command:?}");
+    assert_eq!(command[4], "two\r\nlines");
+    at_node.send(RECEIPT);
+    assert_eq!(client.command()[0], "ok");
+}
+
+#[test]
+fn pipelined_commands_are_answered_in_their_order() {
+    let node = Server::start();
+    let proxy = Proxy::start(&node);
+    let mut client = proxy.client();
+    let mut both = encode(&["CACHE.GET", "1", "a", "c=read,d=15000"]);
+    both.extend(encode(&["CACHE.GET", "2", "b", "c=read,d=15000"]));
+    both.extend(encode(&["PING"]));
+    client.send(both);
+    let (mut first, one) = node.command();
+    let (mut second, two) = node.command();
+    assert_eq!((&one[1][..], &two[1][..]), ("1", "2"));
+    second.send(hit("second"));
+    first.send(hit("first"));
+    assert_eq!((client.command()[0].as_str(), client.command()[0].as_str()), ("first", "second"));
+    assert_eq!(client.line(), "+PONG");
+}
+
+#[test]
+fn a_connection_refused_is_known_never_to_have_run() {
+    let node = Server::start();
+    let proxy = Proxy::with(&node, |c| {
+        let hosts = [host("s-1", nobody(), "up"), host("s-0", node.addresses[0], "up")];
+        c["known"] = list(41, true, &hosts);
+    });
+    // An unsafe class goes on to the other node, whichever its key names first.
+    let mut client = proxy.client();
+    let mut peers = Vec::new();
+    for key in 0..8 {
+        client.set(key, "once", 15_000, "v");
+        let (i, command) = node.any(&mut peers);
+        assert_eq!(command[1], format!("{key:016x}"));
+        peers[i].send(RECEIPT);
+        assert_eq!(client.command()[0], "ok");
+    }
+}
+
+#[test]
+fn with_no_node_to_connect_to_a_request_is_refused() {
+    let proxy = Proxy::with(&Server::many(0), |c| {
+        c["known"] = list(41, true, &[host("s-1", nobody(), "up")]);
+    });
+    let mut client = proxy.client();
+    client.set(1, "once", 15_000, "v");
+    assert!(client.line().starts_with("-BUSY"));
+}
+
+#[test]
+fn a_break_after_the_last_byte_may_have_run() {
+    let nodes = Server::many(2);
+    let proxy = twice(&nodes);
+    let mut client = proxy.client();
+    // A read is asked for again.
+    client.get(1, "read", 15_000);
+    drop(nodes.command());
+    let (mut peer, _) = nodes.command();
+    peer.send(hit("v"));
+    assert_eq!(client.command()[0], "v");
+    // An unsafe write fails, and goes nowhere else.
+    client.set(1, "once", 15_000, "v");
+    assert_eq!(peer.command()[0], "CACHE.SET");
+    drop(peer);
+    assert_eq!(client.line(), "-ERR failed");
+    assert!(nodes.is_untouched());
+}
+
+#[test]
+fn connections_that_break_cost_a_node_neither_its_requests_nor_its_keys() {
+    let node = Server::start();
+    let proxy = Proxy::start(&node);
+    let mut client = proxy.client();
+    let mut peers = Vec::new();
+    for key in 0..6 {
+        client.get(key, "read", 15_000);
+        let (mut i, _) = node.any(&mut peers);
+        if key >= 3 {
+            peers.remove(i).reset();
+            i = node.any(&mut peers).0;
+        }
+        peers[i].send(hit("v"));
+        assert_eq!(client.command()[0], "v");
+    }
+}
+
+#[test]
+fn a_break_before_the_last_byte_is_no_run() {
+    let nodes = Server::many(2);
+    let proxy = twice(&nodes);
+    let mut client = proxy.client();
+    let value = "x".repeat(4 << 20);
+    client.set(1, "once", 15_000, &value);
+    // The first node reads the beginning of the value and breaks off: an unsafe write may go on.
+    let mut first = nodes.accept();
+    assert_eq!(first.line(), "*5");
+    first.reset();
+    let (mut second, command) = nodes.command();
+    assert_eq!(command[4].len(), value.len());
+    second.send(RECEIPT);
+    assert_eq!(client.command()[0], "ok");
+}
+
+#[test]
+fn a_node_that_is_busy_has_not_run_it_and_one_with_an_error_may_have() {
+    let nodes = Server::many(2);
+    let proxy = twice(&nodes);
+    let mut client = proxy.client();
+    client.set(1, "once", 15_000, "v");
+    let (mut first, _) = nodes.command();
+    first.send("-BUSY\r\n");
+    let (mut second, _) = nodes.command();
+    assert_ne!(first.at, second.at);
+    second.send("-ERR failed\r\n");
+    assert_eq!(client.line(), "-ERR failed");
+}
+
+#[test]
+fn a_keyed_write_goes_out_again_only_within_its_window() {
+    for (window, again) in [(5_000_000_000u64, true), (100_000_000, false)] {
+        let nodes = Server::many(2);
+        let proxy = Proxy::with(&nodes, |c| {
+            c["settings"]["categories"][1]["dedup_window_ns"] = json!(window);
+        });
+        let mut client = proxy.client();
+        client.set(1, "put", 15_000, "v");
+        drop(nodes.command());
+        if again {
+            let (mut second, command) = nodes.command();
+            assert!(command[3].ends_with(",k=5c0f"));
+            second.send(RECEIPT);
+            assert_eq!(client.command()[0], "ok");
+        } else {
+            // All nodes drop repeats of this class, so the client may be told to try again.
+            assert!(client.line().starts_with("-BUSY"));
+            assert!(nodes.is_untouched());
+        }
+    }
+}
+
+#[test]
+fn silent_nodes_do_not_keep_a_client_past_its_time() {
+    for (class, answer) in [("read", "-BUSY"), ("once", "-ERR failed")] {
+        let nodes = Server::many(2);
+        let proxy = twice(&nodes);
+        let mut client = proxy.client();
+        client.set(1, class, 600, "v");
+        let (mut silent, _) = nodes.command();
+        assert!(client.line().starts_with(answer));
+        // The attempt is given up with its connection.
+        assert!(silent.rest().is_empty());
+    }
+}
+
+#[test]
+fn a_second_copy_wins_and_the_first_is_called_off() {
+    let nodes = Server::many(2);
+    let proxy = Proxy::with(&nodes, |c| c["settings"]["categories"][0]["promise_ns"] = json!(200_000_000));
+    let mut client = proxy.client();
+    client.get(1, "read", 15_000);
+    let (mut first, _) = nodes.command();
+    let (mut second, _) = nodes.command();
+    assert_ne!(first.at, second.at);
+    second.send(hit("second"));
+    assert_eq!(client.command()[0], "second");
+    assert!(first.rest().is_empty());
+}
+
+#[test]
+fn late_replies_are_dropped_by_their_position() {
+    let node = Server::start();
+    let proxy = Proxy::with(&node, |c| {
+        // One connection for each node, and one try for each request.
+        c["settings"]["n_instances"] = json!(16);
+        c["settings"]["caps"]["attempts_cap"] = json!(1);
+    });
+    let (mut early, mut late) = (proxy.client(), proxy.client());
+    early.get(1, "read", 500);
+    let (mut at_node, _) = node.command();
+    late.get(2, "read", 15_000);
+    assert_eq!(at_node.command()[1], format!("{:016x}", 2));
+    assert!(early.line().starts_with("-BUSY"));
+    let mut both = hit("for the first");
+    both.extend(hit("for the second"));
+    at_node.send(both);
+    assert_eq!(late.command()[0], "for the second");
+}
+
+#[test]
+fn an_idle_time_that_nodes_do_not_keep_is_not_tried_again() {
+    const KEYS: u64 = 40;
+    let nodes = Server::many(12);
+    let proxy = Proxy::with(&nodes, |c| c["settings"]["caps"]["attempts_cap"] = json!(1));
+    let mut client = proxy.client();
+    let mut peers: Vec<Peer> = Vec::new();
+    for key in 0..KEYS {
+        client.get(key, "read", 15_000);
+        let (i, _) = nodes.any(&mut peers);
+        peers[i].send(hit("v"));
+        assert_eq!(client.command()[0], "v");
+    }
+    // Idle is what they have to be; the nodes then reset what comes, though they had promised a minute.
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    let mut old = peers.len();
+    assert!(old >= 8);
+    let mut resets = 0;
+    for key in 0..KEYS {
+        client.get(key, "read", 15_000);
+        let (i, _) = nodes.any(&mut peers);
+        if i < old {
+            (old, resets) = (old - 1, resets + 1);
+            peers.remove(i).reset();
+            client.line();
+        } else {
+            peers[i].send(hit("v"));
+            assert_eq!(client.command()[0], "v");
+        }
+    }
+    assert!(resets < 6, "{resets} old connections were used again");
+}
+
+#[test]
+fn a_draining_node_gets_nothing_new() {
+    let (nodes, discovery) = (Server::many(2), Server::start());
+    let proxy = Proxy::with(&nodes, |c| {
+        c["discovery"] = json!(discovery.addresses[0].to_string());
+        c["settings"]["discovery"] = json!("subscribe");
+    });
+    let host_of = |at: usize, health| host(&format!("s-{at}"), nodes.addresses[at], health);
+    let mut begin = discovery.accept();
+    assert_eq!(begin.request(), "/catalog/members?since=41&timeout_ms=0");
+    begin.list(&list(41, false, &[]));
+    let mut watch = discovery.accept();
+    assert!(watch.request().starts_with("/catalog/members?since=41&timeout_ms=1"));
+    // One node drains, the other is said so in chunks that split anywhere.
+    let body = list(42, false, &[host_of(0, "draining")]).to_string();
+    watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for part in body.as_bytes().chunks(7) {
+        watch.send(format!("{:x};x=1\r\n", part.len()));
+        watch.send(part);
+        watch.send("\r\n");
+    }
+    watch.send("0\r\nX-Sum: 1\r\n\r\n");
+    // The next call shows that the news was taken.
+    let mut watch = discovery.accept();
+    assert!(watch.request().starts_with("/catalog/members?since=42&"));
+    let mut client = proxy.client();
+    let mut at_node = None;
+    for key in 0..8 {
+        client.get(key, "read", 15_000);
+        let peer = at_node.get_or_insert_with(|| nodes.accept());
+        assert_eq!((peer.at, &peer.command()[1]), (1, &format!("{key:016x}")));
+        peer.send(hit("v"));
+        assert_eq!(client.command()[0], "v");
+    }
+    // Removed, and no other left: nothing is sent.
+    watch.list(&list(43, true, &[host_of(0, "draining")]));
+    assert!(discovery.accept().request().starts_with("/catalog/members?since=43&"));
+    client.get(1, "read", 15_000);
+    assert!(client.line().starts_with("-BUSY"));
+    assert!(nodes.is_untouched());
+}
+
+#[test]
+fn when_discovery_fails_the_old_list_stands_and_it_is_asked_again() {
+    let (node, discovery) = (Server::start(), Server::start());
+    let proxy = Proxy::with(&node, |c| {
+        c["discovery"] = json!(discovery.addresses[0].to_string());
+        c["settings"]["discovery"] = json!("subscribe");
+    });
+    let odd = list(99, true, &[host("s-0", node.addresses[0], "odd")]).to_string();
+    let whole = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    for answer in [
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{\"seq\":".to_owned(),
+        whole("{\"seq\": nonsense"),
+        whole(&odd),
+        "no HTTP at all\r\n\r\n".to_owned(),
+    ] {
+        let mut call = discovery.accept();
+        // What could not be understood moved nothing on.
+        assert_eq!(call.request(), "/catalog/members?since=41&timeout_ms=0");
+        call.send(&answer);
+    }
+    discovery.accept().reset();
+    let mut call = discovery.accept();
+    call.request();
+    let mut client = proxy.client();
+    client.get(1, "read", 15_000);
+    let (mut at_node, _) = node.command();
+    at_node.send(hit("v"));
+    assert_eq!(client.command()[0], "v");
+    // A call that hangs is given up.
+    assert!(call.rest().is_empty());
+    assert_eq!(discovery.accept().request(), "/catalog/members?since=41&timeout_ms=0");
+}
+
+#[test]
+fn a_client_that_breaks_its_connection_is_not_worked_for() {
+    let node = Server::start();
+    let proxy = Proxy::start(&node);
+    let mut client = proxy.client();
+    client.get(1, "read", 15_000);
+    let (mut at_node, _) = node.command();
+    client.reset();
+    assert!(at_node.rest().is_empty());
+    proxy.is_well();
+}
+
+#[test]
+fn a_client_that_only_ended_its_sending_gets_its_answer() {
+    let nodes = Server::many(8);
+    let proxy = Proxy::start(&nodes);
+    for (reply, answer) in [("*1\r\n$1\r\nv\r\n", "*1\r\n$1\r\nv\r\n"), ("-BUSY\r\n", "-ERR failed\r\n")] {
+        let mut client = proxy.client();
+        client.get(1, "read", 15_000);
+        client.stream.shutdown(std::net::Shutdown::Write).expect("shut down");
+        // Once this is answered the proxy has read the end before it.
+        proxy.is_well();
+        let (mut at_node, _) = nodes.command();
+        // Nothing more goes out for a client that may have left: its end is the one answer to what is out.
+        at_node.send(reply);
+        assert_eq!(String::from_utf8_lossy(&client.rest()), answer);
+        at_node.send("rubbish");
+        assert!(at_node.rest().is_empty());
+    }
+    assert!(nodes.is_untouched());
+}
+
+#[test]
+fn long_values_pass_through_within_the_memory() {
+    const CLIENTS: usize = 24;
+    let node = Server::start();
+    let proxy = Proxy::with(&node, |c| c["settings"]["caps"]["second_copies"] = json!(false));
+    let value = vec![b'v'; 4 << 20];
+    let mut reply = format!("*3\r\n${}\r\n", value.len()).into_bytes();
+    reply.extend_from_slice(&value);
+    reply.extend_from_slice(b"\r\n$4\r\nmiss\r\n$-1\r\n");
+    let serve = |mut peer: Peer, reply: Vec<u8>, count: usize| {
+        std::thread::spawn(move || {
+            for _ in 0..count {
+                assert_eq!(peer.command().len(), 4);
+                peer.send(&reply);
+            }
+        })
+    };
+    // Clients that ask and do not read hold up their nodes, not the proxy.
+    let mut clients: Vec<Peer> = (0..CLIENTS).map(|_| proxy.client()).collect();
+    let mut serving = Vec::new();
+    for (key, client) in (0..).zip(&mut clients) {
+        client.get(key, "read", 15_000);
+        if key < 4 {
+            serving.push(serve(node.accept(), reply.clone(), 1));
+        }
+    }
+    for client in &mut clients[..4] {
+        assert!(client.take(reply.len()) == reply);
+    }
+    serving.into_iter().for_each(|s| s.join().expect("served"));
+    assert!(proxy.status("VmHWM") < 64 << 10, "{} kB", proxy.status("VmHWM"));
+}
+
+#[test]
+fn a_long_value_that_breaks_off_looks_unfinished() {
+    let node = Server::start();
+    let proxy = Proxy::start(&node);
+    let mut client = proxy.client();
+    client.get(1, "read", 15_000);
+    let (mut at_node, _) = node.command();
+    let mut half = b"*3\r\n$100000\r\n".to_vec();
+    half.resize(50_000, b'v');
+    at_node.send(&half);
+    assert_eq!(client.take(half.len()), half);
+    drop(at_node);
+    assert!(client.rest().is_empty());
+    assert!(node.is_untouched());
+}
+
+#[test]
+fn a_client_that_leaves_a_long_value_does_not_hold_up_the_answers_behind_it() {
+    let node = Server::start();
+    // So many proxies that each has one connection to a node.
+    let proxy = Proxy::with(&node, |c| c["settings"]["n_instances"] = json!(24));
+    let (mut leaving, mut waiting) = (proxy.client(), proxy.client());
+    leaving.get(1, "read", 15_000);
+    let (mut at_node, _) = node.command();
+    waiting.get(2, "read", 15_000);
+    assert_eq!(at_node.command()[1], format!("{:016x}", 2));
+    // Far more than sockets hold: the client reads nothing, so the node is held up.
+    let mut both = format!("*3\r\n${}\r\n", 4 << 20).into_bytes();
+    both.resize(both.len() + (4 << 20), b'v');
+    both.extend_from_slice(b"\r\n$-1\r\n$-1\r\n");
+    both.extend(hit("behind"));
+    let sending = std::thread::spawn(move || {
+        at_node.send(&both);
+        at_node
+    });
+    // That it has begun shows in its first bytes.
+    leaving.take(4);
+    leaving.reset();
+    assert_eq!(waiting.command()[0], "behind");
+    sending.join().expect("all was taken");
+}
+
+#[test]
+fn after_sigterm_all_that_was_taken_is_answered() {
+    let node = Server::start();
+    let mut proxy = Proxy::start(&node);
+    let (mut waiting, mut idle) = (proxy.client(), proxy.client());
+    waiting.get(1, "read", 2_500);
+    let (mut at_node, _) = node.command();
+    proxy.signal("-TERM");
+    // It still takes newcomers, and those that it has.
+    idle.send(encode(&["PING"]));
+    assert_eq!(idle.line(), "+PONG");
+    proxy.is_well();
+    // The end of an idle connection shows that the window is over; what was taken is still answered.
+    let mut watcher = idle;
+    assert!(watcher.rest().is_empty());
+    at_node.send(hit("v"));
+    assert_eq!(waiting.command()[0], "v");
+    assert!(waiting.rest().is_empty());
+    assert_eq!(proxy.wait().code(), Some(0));
+}
+
+#[test]
+fn what_clients_get_wrong_is_told_and_harms_nobody_else() {
+    let node = Server::start();
+    let proxy = Proxy::start(&node);
+    let mut good = proxy.client();
+    let mut asking = proxy.client();
+    for (command, error) in [
+        (&["FLUSHALL"][..], "-ERR unknown command"),
+        (&["CACHE.GET", "1", "a"], "-ERR wrong number of arguments"),
+        (&["CACHE.SET", "1", "a", "c=read,d=100"], "-ERR wrong number of arguments"),
+        (&["CACHE.GET", "1", "a", "c=read,d=100", "v"], "-ERR wrong number of arguments"),
+        (&["CACHE.GET", "1", "a", "c=odd,d=100"], "-ERR unknown class"),
+        (&["CACHE.GET", "1", "a", "d=100"], "-ERR unknown class"),
+        (&["CACHE.GET", "1", "a", "c=read"], "-ERR d is missing"),
+        (&["CACHE.GET", "1", "a", "c=read,d=soon"], "-ERR d is not a number"),
+        (&["CACHE.GET", "1", "a", "c=read,d=-5"], "-ERR d is not a number"),
+        (&["CACHE.GET", "1", "a", "nonsense"], "-ERR a field has no value"),
+        (&["CACHE.SET", "1", "a", "c=put,d=100", "v"], "-ERR k is missing"),
+        (&["CACHE.GET", "1", "a", "c=read,d=0"], "-BUSY"),
+    ] {
+        asking.send(encode(command));
+        assert!(asking.line().starts_with(error), "{command:?}");
+    }
+    for broken in ["PING\r\n", "*1\r\n$4194305\r\n", "*-1\r\n", "*1\r\n+PING\r\n", "*99999\r\n"] {
+        let mut client = proxy.client();
+        client.send(broken);
+        assert!(client.line().starts_with("-ERR Protocol error"), "{broken:?}");
+        assert!(client.rest().is_empty());
+    }
+    // One that stops in the middle of a command is let go in the end, one that leaves there at once.
+    let mut slow = proxy.client();
+    slow.send("*4\r\n$9\r\nCACHE");
+    let mut leaving = proxy.client();
+    leaving.send("*4\r\n$9\r\nCACHE");
+    drop(leaving);
+    good.get(1, "read", 15_000);
+    let (mut at_node, _) = node.command();
+    at_node.send(hit("v"));
+    assert_eq!(good.command()[0], "v");
+    assert!(slow.line().starts_with("-ERR Protocol error"));
+    assert!(slow.rest().is_empty());
+}
+
+#[test]
+fn a_command_may_come_byte_by_byte() {
+    let node = Server::start();
+    let proxy = Proxy::start(&node);
+    let mut client = proxy.client();
+    for byte in encode(&["CACHE.GET", "1", "a", "c=read,d=15000"]) {
+        client.send([byte]);
+    }
+    let (mut at_node, _) = node.command();
+    for byte in hit("v") {
+        at_node.send([byte]);
+    }
+    assert_eq!(client.command()[0], "v");
+}
+
+#[test]
+fn what_nodes_get_wrong_ends_the_connection_and_the_attempt() {
+    // An answer without a value is none, and one that nobody asked for is not taken for the next one's.
+    let unasked = "*2\r\n$-1\r\n$3\r\nhit\r\n*1\r\n$7\r\nunasked\r\n";
+    for wrong in ["?what\r\n", "*1\r\n*1\r\n", "$4194305\r\n", "*1\r\n$x\r\n", unasked] {
+        let nodes = Server::many(2);
+        let proxy = twice(&nodes);
+        let mut client = proxy.client();
+        client.set(1, "once", 15_000, "v");
+        let (mut at_node, _) = nodes.command();
+        at_node.send(wrong);
+        assert_eq!(client.line(), "-ERR failed", "{wrong:?}");
+        assert!(at_node.rest().is_empty());
+        assert!(nodes.is_untouched());
+    }
+}
+
+#[test]
+fn without_room_for_connections_idle_ones_make_room() {
+    let node = Server::start();
+    // 32 descriptors are kept back; 8 of the others are for clients.
+    let proxy = Proxy::with(&node, |c| c["limits"]["sockets"] = json!(48));
+    let mut clients = Vec::new();
+    for _ in 0..12 {
+        let mut client = proxy.client();
+        client.send(encode(&["PING"]));
+        assert_eq!(client.line(), "+PONG");
+        clients.push(client);
+    }
+    // Those that were idle longest have gone, the others are served on.
+    assert!(clients[..4].iter_mut().all(|c| c.rest().is_empty()));
+    for client in &mut clients[4..] {
+        client.send(encode(&["PING"]));
+        assert_eq!(client.line(), "+PONG");
+    }
+}
+
+#[test]
+fn without_descriptors_newcomers_wait_and_are_served_once_there_are_some() {
+    let nodes = Server::many(8);
+    let proxy = Proxy::starved(&nodes, 24);
+    let mut clients: VecDeque<Peer> = (0..40).map(|_| proxy.client()).collect();
+    for client in &mut clients {
+        client.send(encode(&["PING"]));
+    }
+    // Those that hold a descriptor are served on, though none is left for a cache node.
+    let first = clients.front_mut().expect("one");
+    assert_eq!(first.line(), "+PONG");
+    first.get(1, "read", 15_000);
+    assert!(first.line().starts_with("-BUSY"));
+    while let Some(mut client) = clients.pop_front() {
+        client.send(encode(&["QUIT"]));
+        assert!(client.rest().ends_with(b"+OK\r\n"));
+    }
+    let mut client = proxy.client();
+    client.get(1, "read", 15_000);
+    let (mut at_node, _) = nodes.command();
+    at_node.send(hit("v"));
+    assert_eq!(client.command()[0], "v");
+}
+
+#[test]
+fn without_room_for_values_writes_are_refused_and_reads_served() {
+    let node = Server::start();
+    // A quarter of it is for values: two of 4 MiB.
+    let proxy = Proxy::with(&node, |c| c["limits"]["memory_mb"] = json!(32));
+    let value = "x".repeat(4 << 20);
+    let mut writers = [proxy.client(), proxy.client(), proxy.client()];
+    let mut held = Vec::new();
+    for writer in &mut writers[..2] {
+        writer.set(1, "once", 15_000, &value);
+        held.push(node.accept());
+        assert_eq!(held.last_mut().expect("one").command()[4].len(), value.len());
+    }
+    let [first, second, third] = &mut writers;
+    third.set(1, "once", 15_000, &value);
+    assert_eq!(third.line(), "-BUSY");
+    third.get(1, "read", 15_000);
+    let (mut at_node, _) = node.command();
+    at_node.send(hit("v"));
+    assert_eq!(third.command()[0], "v");
+    // What was held is given back.
+    held[1].send(RECEIPT);
+    assert_eq!(second.command()[0], "ok");
+    third.set(1, "once", 15_000, &value);
+    assert_eq!(held[1].command()[4].len(), value.len());
+    held.iter_mut().for_each(|peer| peer.send(RECEIPT));
+    assert_eq!([first.command(), third.command()].map(|c| c[0].clone()), ["ok", "ok"]);
+}
+
+#[test]
+fn a_wrong_configuration_is_one_plain_line() {
+    for wrong in ["", "{}", "{\"listen\": 5}"] {
+        let mut child = launch(wrong);
+        let mut error = String::new();
+        child.stderr.take().expect("stderr").read_to_string(&mut error).expect("text");
+        assert_eq!(child.wait().expect("waited").code(), Some(1));
+        assert!(error.starts_with("trestlesill: ") && error.lines().count() == 1, "{error}");
+    }
+}
