SIGHUP reads the configuration again and moves to the discovery it names

Only SIGTERM had a handler (src/proxy/mod.rs, start), so the default action of SIGHUP ended the process, and discovery's address was read once. Ruled out: a panic or the memory limit (exit code 129, 1 MB in use).

Now SIGHUP parses the file; if that fails the old configuration stays and the log says so. A new address ends the calls that are out, and the module is told with ListMoved: it asks at once, for the whole list, since versions of one discovery mean nothing to another. The test fails on the old code, which dies.

--- a/src/api.rs
+++ b/src/api.rs
@@ -281,6 +281,8 @@
         /// The entries.
         entries: Vec<Entry>,
     },
+    /// The list is to be had from another place: calls and the subscription at the old one are over.
+    ListMoved,
     /// A request arrived.
     Arrival(Request),
     /// An attempt ended.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -181,6 +181,7 @@
         self.started.get_or_insert(now);
         match event {
             Event::List { kind, entries } => self.list(now, kind, entries, actions),
+            Event::ListMoved => self.list_moved(actions),
             Event::Arrival(request) => self.arrival(now, request, actions),
             Event::Outcome(o) => self.outcome(now, &o, actions),
             Event::Probed { server, status: Status::Ok, .. } => self.clear(server),
@@ -291,6 +292,13 @@
         actions.push(Action::Timer { token: self.ask_token, delay });
     }
 
+    /// Asks the new place at once: what it has to tell counts as told soon. The old list stands till then.
+    fn list_moved(&mut self, actions: &mut Vec<Action>) {
+        (self.subscribed, self.asked, self.failures) = (false, false, 0);
+        self.ask_token += 1;
+        self.ask_timer(self.ask_token, actions);
+    }
+
     fn ask_timer(&mut self, token: u64, actions: &mut Vec<Action>) {
         if token != self.ask_token || self.subscribed || !self.settings.must_ask {
             return;
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -180,6 +180,12 @@
         Discovery { address, names, version, tokens, watch: None, fetch: None }
     }
 
+    /// Discovery is at another address from now on. Calls that are out end, and the list is known in no
+    /// version of the new one's.
+    pub fn moved(&mut self, address: SocketAddr) {
+        (self.address, self.version, self.watch, self.fetch) = (address, None, None, None);
+    }
+
     /// Begins a watch, or begins it anew.
     pub fn subscribe(&mut self, registry: &Registry, now: Nanos) -> Result<(), ListError> {
         self.watch = None;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -19,6 +19,7 @@
 use mio::net::UnixStream;
 use mio::{Events, Interest, Poll, Token};
 use rustc_hash::FxHashMap;
+use signal_hook::consts::{SIGHUP, SIGTERM};
 use std::collections::VecDeque;
 use std::io::{self, Read};
 use std::rc::Rc;
@@ -52,6 +53,20 @@
 const LISTENER: Token = Token(0);
 const SIGNAL: Token = Token(4);
 const DISCOVERY: [Token; 2] = [Token(8), Token(12)];
+const HANGUP: Token = Token(16);
+
+/// A socket that becomes readable when this signal arrives.
+fn signal_pipe(signal: i32) -> io::Result<UnixStream> {
+    let (read, raised) = UnixStream::pair()?;
+    signal_hook::low_level::pipe::register(signal, raised)?;
+    Ok(read)
+}
+
+/// Takes all that a signal's socket has.
+fn drain(mut pipe: &UnixStream) {
+    let mut bytes = [0; 16];
+    while pipe.read(&mut bytes).is_ok_and(|n| n > 0) {}
+}
 
 fn client_token(key: usize) -> Token {
     Token(key << 2 | 1)
@@ -113,6 +128,7 @@
     since: Nanos,
     poll: Poll,
     signal: UnixStream,
+    hangup: UnixStream,
     brain: Brain,
     timers: Timers,
     clients: Clients,
@@ -134,9 +150,9 @@
         let now = clock.now();
         let poll = Poll::new()?;
         let registry = poll.registry();
-        let (mut signal, raised) = UnixStream::pair()?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, raised)?;
+        let (mut signal, mut hangup) = (signal_pipe(SIGTERM)?, signal_pipe(SIGHUP)?);
         registry.register(&mut signal, SIGNAL, Interest::READABLE)?;
+        registry.register(&mut hangup, HANGUP, Interest::READABLE)?;
         // Half of the descriptors for clients, half for cache nodes: a request needs one of each.
         let half = (config.sockets.saturating_sub(RESERVED) / 2).max(1);
         let memory = ((config.memory_mb << 20) / MEMORY_PART) as usize;
@@ -149,6 +165,7 @@
             now,
             since: now,
             signal,
+            hangup,
             brain: Brain::new(config.settings.clone(), config.seed),
             timers: Timers::default(),
             clients,
@@ -209,6 +226,7 @@
             match event.token() {
                 LISTENER => self.clients.knocked(),
                 SIGNAL => self.signalled(),
+                HANGUP => self.reload(),
                 token => {
                     let answer = self.discovery.ready(self.poll.registry(), token, self.now);
                     self.discovered(answer);
@@ -530,6 +548,27 @@
         news.hosts.into_iter().map(|h| h.entry).collect()
     }
 
+    /// Takes over the configuration file anew: the address of discovery. All else in it holds from the next
+    /// start on. Guards against any file that can't be used: the old configuration stays in force then.
+    ///
+    /// Danger: versions of one discovery mean nothing to another, so the new one is asked for its whole list.
+    fn reload(&mut self) {
+        drain(&self.hangup);
+        match Config::from_env() {
+            Err(e) => eprintln!("reload: {e}; the configuration stays as it was"),
+            Ok(new) if new.discovery == self.config.discovery => {
+                eprintln!("reload: discovery stays at {}", new.discovery);
+            }
+            Ok(new) => {
+                eprintln!("reload: discovery is now at {}, was at {}", new.discovery, self.config.discovery);
+                self.config.discovery = new.discovery;
+                self.discovery.moved(new.discovery);
+                self.discovery_failed = false;
+                self.events.push_back(Event::ListMoved);
+            }
+        }
+    }
+
     // ---- time ----
 
     fn run_timers(&mut self) {
@@ -556,8 +595,7 @@
     // ---- the end ----
 
     fn signalled(&mut self) {
-        let mut bytes = [0; 16];
-        while self.signal.read(&mut bytes).is_ok_and(|n| n > 0) {}
+        drain(&self.signal);
         self.stopping.get_or_insert(self.now);
     }
 
--- a/tests/common/net.rs
+++ b/tests/common/net.rs
@@ -5,6 +5,7 @@
 use serde_json::{json, Value};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::mpsc::{channel, Receiver};
@@ -230,6 +231,7 @@
 pub struct Proxy {
     pub address: SocketAddr,
     pub child: Child,
+    path: PathBuf,
 }
 
 /// A configuration that names these cache nodes, for a listener at an address of its own.
@@ -259,16 +261,16 @@
 
 /// Runs the binary on a configuration.
 pub fn launch(config: &str) -> Child {
-    launch_by(Command::new(env!("CARGO_BIN_EXE_trestlesill")), config)
+    launch_by(Command::new(env!("CARGO_BIN_EXE_trestlesill")), config).0
 }
 
-fn launch_by(mut program: Command, config: &str) -> Child {
+fn launch_by(mut program: Command, config: &str) -> (Child, PathBuf) {
     static NEXT: AtomicU8 = AtomicU8::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("trestlesill-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).expect("the configuration is written");
     program.env("NODE_CONFIG", &path).env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY");
-    program.stderr(Stdio::piped()).spawn().expect("the proxy starts")
+    (program.stderr(Stdio::piped()).spawn().expect("the proxy starts"), path)
 }
 
 impl Proxy {
@@ -292,7 +294,8 @@
 
     fn by(program: Command, config: Value) -> Proxy {
         let address = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
-        let proxy = Proxy { address, child: launch_by(program, &config.to_string()) };
+        let (child, path) = launch_by(program, &config.to_string());
+        let proxy = Proxy { address, child, path };
         let begun = Instant::now();
         while TcpStream::connect(address).is_err() {
             assert!(begun.elapsed() < PATIENCE, "the proxy does not listen");
@@ -310,6 +313,14 @@
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
+    /// Replaces the configuration and has the proxy read it again.
+    pub fn reload(&self, config: &str) {
+        let new = self.path.with_extension("new");
+        std::fs::write(&new, config).expect("the configuration is written");
+        std::fs::rename(&new, &self.path).expect("the configuration is replaced");
+        self.signal("-HUP");
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         let begun = Instant::now();
         loop {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -333,6 +333,48 @@
     assert_eq!(discovery.accept().request(), "/catalog/members?since=41&timeout_ms=0");
 }
 
+#[test]
+fn a_reload_moves_to_the_discovery_that_the_new_configuration_names() {
+    let (nodes, old, new) = (Server::many(2), Server::start(), Server::start());
+    let mut first = config(&nodes.addresses[..1]);
+    first["discovery"] = json!(old.addresses[0].to_string());
+    first["settings"]["discovery"] = json!("subscribe");
+    let mut second = first.clone();
+    second["discovery"] = json!(new.addresses[0].to_string());
+    let proxy = Proxy::with(&nodes, |c| *c = first.clone());
+    let mut begin = old.accept();
+    begin.request();
+    begin.list(&list(41, false, &[]));
+    let mut watch = old.accept();
+    watch.request();
+    let mut waiting = proxy.client();
+    waiting.get(1, "read", 15_000);
+    let (mut at_node, _) = nodes.command();
+    // What can't be read, and what can't be used, changes nothing: the watch goes on.
+    for wrong in ["", "{\"listen\":", "{}"] {
+        proxy.reload(wrong);
+        proxy.is_well();
+    }
+    watch.list(&list(42, false, &[]));
+    let mut watch = old.accept();
+    assert!(watch.request().starts_with("/catalog/members?since=42&"));
+    // A request that is under way outlasts the change.
+    proxy.reload(&second.to_string());
+    let mut begin = new.accept();
+    assert_eq!(begin.request(), "/catalog/members");
+    assert!(watch.rest().is_empty());
+    at_node.send(hit("v"));
+    assert_eq!(waiting.command()[0], "v");
+    begin.list(&list(7, true, &[host("s-1", nodes.addresses[1], "up")]));
+    assert!(new.accept().request().starts_with("/catalog/members?since=7&"));
+    waiting.get(2, "read", 15_000);
+    let (mut at_node, _) = nodes.command();
+    assert_eq!(at_node.at, 1);
+    at_node.send(hit("v"));
+    assert_eq!(waiting.command()[0], "v");
+    assert!(old.is_untouched());
+}
+
 #[test]
 fn a_client_that_breaks_its_connection_is_not_worked_for() {
     let node = Server::start();
