What peers say is held to its exact shape, and bounded

Seen: half a command was let go only after 5 s and a silent connection never, unless others needed its place; a request with an empty id, or with the id of an open one, went to the nodes; d could hold state for 600 s; values of 4 MiB were taken where the protocol has 64 KiB; a reply of one element, a bare bulk string or +OK passed for an answer; one that stopped midway was waited for to the end; answers behind others were in no count. A reply that could not be read was handled as a broken connection, and two made the node suspect for 2 s or more, though any node spoils some and 541 of 13257 came so (Upstreams::input, close; Brain::outcome). Bytes on an idle connection were noticed only if the loop had heard of them before the next request was written. Ruled out: has_place and evict (under 0.1 s of CPU a second in all), memory (1 MB of 32), errors to bad clients (each was answered in the trace).

Values over 64 KiB end the connection, so passing them on in parts is removed. A reply must be an error line or an array of three; else the attempt ends as Spoilt, which may have run, and six in a row make a node suspect. An idle connection is looked at before each use. Ids are checked, d ends with the class's deadline, silent and half-said clients go after 2.4 s, those that never asked are evicted first, and input waits while 256 KiB of answers are unread.

--- a/src/api.rs
+++ b/src/api.rs
@@ -209,6 +209,8 @@
     ConnectFailed,
     /// The connection broke; it may have run.
     Reset,
+    /// The answer came and can't be read; it may have run.
+    Spoilt,
     /// Called off; it may have run.
     Cancelled,
     /// Not sent; never ran.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,6 +24,8 @@
 const SHED_BELOW: [f64; 2] = [0.78, 0.55];
 /// Silences in a row after which a whole other zone is left alone for about a second.
 const ZONE_SILENT: u32 = 5;
+/// Unreadable answers in a row after which a server is left alone.
+const SPOILT: u32 = 6;
 /// More errors than this part of the outcomes mean that the origin fails.
 const ERRORS: f64 = 0.05;
 /// More connections refused than this part of the outcomes mean that servers have no more to give.
@@ -54,6 +56,8 @@
     inverse_weight: f64,
     inflight: f64,
     fails: u32,
+    /// Answers in a row that could not be read.
+    spoilt: u32,
     suspect_until: Nanos,
     backoff: Nanos,
     tokens: f64,
@@ -421,9 +425,23 @@
         }
     }
 
+    /// An answer that can't be read says little of its server: it works, and most likely holds the key now.
+    /// Danger: any server may spoil one now and then, and to leave it for two in a row would send its keys to
+    /// others that lack them. One that spoils all is left like one that is silent.
+    fn spoilt(&mut self, now: Nanos, server: ServerId) {
+        let Some(&i) = self.by_id.get(&server) else { return };
+        let s = &mut self.servers[i as usize];
+        s.spoilt += 1;
+        if s.spoilt >= SPOILT {
+            s.spoilt = 0;
+            self.failed(now, server, 2);
+        }
+    }
+
     fn clear(&mut self, server: ServerId) {
         if let Some(&i) = self.by_id.get(&server) {
             let s = &mut self.servers[i as usize];
+            s.spoilt = 0;
             (s.fails, s.suspect_until, s.backoff) = (0, 0, 0);
             self.zones.remove(&s.entry.zone);
         }
@@ -722,6 +740,7 @@
             // Danger: connections break one by one, too, at servers that are well; to leave a server for each
             // would leave most of the fleet alone. One that died refuses the next connection.
             Status::Reset => self.failed(now, server, 1),
+            Status::Spoilt => self.spoilt(now, server),
             Status::Timeout if usual.count > 5.0 && (elapsed as f64) < usual.mean + 2.0 * usual.spread => {}
             Status::Timeout => self.failed(now, server, 1),
             Status::Cancelled | Status::Moot => {}
@@ -743,7 +762,7 @@
         if let Some(a) = open.attempts.get_mut(o.attempt as usize) {
             a.pending = false;
             a.silent = status == Status::Timeout;
-            a.broke = status == Status::Reset;
+            a.broke = matches!(status, Status::Reset | Status::Spoilt);
             a.may_have_run = !status.never_ran();
         }
         let streaming = open.streaming;
@@ -781,7 +800,8 @@
         // No connection cost nobody work, and work ends with its connection. Danger: in a release with servers
         // gone and the list seconds late, or where connections break at random, a spent budget refuses what
         // the next server could serve, and that passes for a jam.
-        let cost = if matches!(status, Status::ConnectFailed | Status::Reset) { 0.1 } else { 1.0 };
+        let cost =
+            if matches!(status, Status::ConnectFailed | Status::Reset | Status::Spoilt) { 0.1 } else { 1.0 };
         if !self.again(now, id, cost, actions) {
             self.give_up(id, actions);
         }
--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -1,7 +1,7 @@
 //! Clients: the listener, their connections, and answers in the order of the commands.
 
 use super::config::Config;
-use super::resp::{Command, CommandParser, Room, LONG_VALUE};
+use super::resp::{Command, CommandParser, Room, MAX_VALUE};
 use calicosaddle::api::{server_id, Effect, Nanos, RequestId};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
@@ -15,6 +15,8 @@
 const MS: Nanos = 1_000_000;
 /// The answer of a request that failed: nothing is promised.
 pub const FAILED: &[u8] = b"-ERR failed\r\n";
+/// The request's id is that of another one that is open.
+pub const ID_IN_USE: &[u8] = b"-ERR the request id is in use\r\n";
 /// A refusal: trying again is harmless.
 pub const BUSY: &[u8] = b"-BUSY\r\n";
 /// Commands that a connection may have open; more are refused.
@@ -22,19 +24,27 @@
 /// Answers waiting behind others, and commands refused past `MAX_PIPELINE`: over so many the client is not
 /// reading, and is let go.
 const MAX_SLOTS: usize = 8 * MAX_PIPELINE;
-/// Over this a connection's unread answers hold up the cache node that a long value comes from.
-const HIGH: usize = 4 * LONG_VALUE;
-/// A client may take 2 s to write a command; one that takes far longer is let go, and so is one that reads
-/// nothing of its answers for so long.
+/// With so many bytes of answers unread, a client's further commands wait.
+const HIGH: usize = 4 * MAX_VALUE;
+/// What an idle connection keeps of its buffer.
+const KEPT: usize = 4 << 10;
+/// A client may take 2 s to write a command. One that has asked for nothing so long after connecting, or whose
+/// command is not whole after it, is let go; it is owed that within 3 s.
+const ASKING: Nanos = 2_400 * MS;
+/// A client that reads nothing of its answers for so long is let go.
 const STALLED: Nanos = 5_000 * MS;
-/// After the last answer, the time that a client has to close its side.
+/// Between requests a client may be silent for so long.
+const IDLE: Nanos = 10_000 * MS;
+/// After the last answer, the time that a client has to close its side, and what it may still send until then.
 const LINGER: Nanos = 250 * MS;
+const LINGER_BYTES: usize = 256 << 10;
 /// Reads of one connection before others have their turn.
 const READS: usize = 4;
 /// Connections accepted before others have their turn.
 const ACCEPTS: usize = 64;
-/// No client waits longer than this, whatever it says.
-const LONGEST_WAIT: u64 = 600_000;
+/// The longest key and request id.
+const MAX_NAME: usize = 256;
+const MAX_ID: usize = 64;
 
 /// A read or write as the client sent it.
 #[derive(Debug)]
@@ -64,6 +74,17 @@
         if command.len() != if write { 5 } else { 4 } {
             return Err("-ERR wrong number of arguments\r\n");
         }
+        // What cache nodes can't use is not passed on: they may close on it, and on all that waits behind it.
+        let fits = |i: usize, most: usize| {
+            let arg = command.arg(i);
+            !arg.is_empty() && arg.len() <= most && arg.iter().all(u8::is_ascii_graphic)
+        };
+        if !fits(1, MAX_NAME) {
+            return Err("-ERR invalid key\r\n");
+        }
+        if !fits(2, MAX_ID) {
+            return Err("-ERR invalid request id\r\n");
+        }
         let fields = std::str::from_utf8(command.arg(3)).map_err(|_| "-ERR fields are not text\r\n")?;
         let (mut class, mut tenant, mut wait, mut key, mut hint, mut repeat) =
             (None, None, None, false, None, false);
@@ -75,7 +96,7 @@
                 "t" => tenant = config.tenants.iter().position(|t| t == value).map(|t| t as u32),
                 "d" => {
                     let ms: u64 = value.parse().map_err(|_| "-ERR d is not a number\r\n")?;
-                    wait = Some((ms.min(LONGEST_WAIT) * MS, at + 2..at + field.len()));
+                    wait = Some((ms.saturating_mul(MS), at + 2..at + field.len()));
                 }
                 "k" => key = !value.is_empty(),
                 "r" => repeat = value == "1",
@@ -91,6 +112,8 @@
         if keyed && !key {
             return Err("-ERR k is missing\r\n");
         }
+        // Nobody waits longer than the class allows, whatever a client says: so long is state kept for it.
+        let wait = wait.min(config.settings.classes.get(class).map_or(0, |c| c.deadline));
         let name = std::str::from_utf8(command.arg(1)).unwrap_or_default();
         let hex = if name.len() <= 16 { u64::from_str_radix(name, 16).ok() } else { None };
         let key = hex.unwrap_or_else(|| server_id(&String::from_utf8_lossy(command.arg(1))));
@@ -121,6 +144,11 @@
         }
     }
 
+    /// The request's id, as its client gave it.
+    pub fn id(&self) -> &[u8] {
+        self.command.arg(2)
+    }
+
     /// A write's value.
     pub fn value(&self) -> &[u8] {
         self.command.arg(4)
@@ -152,13 +180,6 @@
 enum Slot {
     Waiting(RequestId),
     Ready(Vec<u8>),
-    /// A long value that comes from a connection to a cache node; what of it waits for answers before it.
-    Long {
-        id: RequestId,
-        from: usize,
-        held: Vec<u8>,
-        done: bool,
-    },
 }
 
 #[derive(Debug)]
@@ -170,27 +191,43 @@
     first: u64,
     out: Vec<u8>,
     written: usize,
+    /// Bytes of answers that wait for those before them.
+    held: usize,
     dirty: bool,
     /// When a command began of which more is to come.
     midway_since: Option<Nanos>,
     /// When it last sent anything, or took anything of its answers.
     moved: Nanos,
+    /// When it connected, until it has said something that can be understood.
+    newcomer: Option<Nanos>,
+    /// It has had a request.
+    asked: bool,
     /// It ended its sending.
     eof: bool,
     /// It is let go once all it is owed is written.
     closing: bool,
     /// All is written and our side closed; its input is read to keep a reset from overtaking the answers.
     lingering: Option<Nanos>,
+    /// What has come since and was dropped.
+    dropped: usize,
+    /// Input was left unread, so that its answers don't pile up.
+    held_up: bool,
 }
 
 impl Client {
+    /// Bytes of answers that it has yet to read.
     fn backlog(&self) -> usize {
-        self.out.len() - self.written
+        self.out.len() - self.written + self.held
     }
 
     fn idle(&self) -> bool {
         self.slots.is_empty() && self.backlog() == 0 && !self.parser.midway()
     }
+
+    /// Idle, and no command is waiting to be read: it may be closed.
+    fn quiet(&self) -> bool {
+        self.idle() && self.stream.peek(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
 }
 
 /// All clients of this proxy.
@@ -211,8 +248,6 @@
     dirty: Vec<usize>,
     /// Connections that may have more input.
     again: Vec<usize>,
-    /// Connections to cache nodes that may go on with a long value.
-    resume: Vec<usize>,
     news: VecDeque<News>,
 }
 
@@ -239,7 +274,6 @@
             stopping: false,
             dirty: Vec::new(),
             again: Vec::new(),
-            resume: Vec::new(),
             news: VecDeque::new(),
         })
     }
@@ -257,11 +291,6 @@
         self.news.pop_front()
     }
 
-    /// A connection to a cache node that may go on with its long value.
-    pub fn resume(&mut self) -> Option<usize> {
-        self.resume.pop()
-    }
-
     /// True if some socket may have more without saying so again.
     pub fn has_more(&self) -> bool {
         !self.again.is_empty() || (self.accepting && self.has_place())
@@ -323,22 +352,32 @@
                 first: 0,
                 out: Vec::new(),
                 written: 0,
+                held: 0,
                 dirty: false,
                 midway_since: None,
                 moved: now,
+                newcomer: Some(now),
+                asked: false,
                 eof: false,
                 closing: false,
                 lingering: None,
+                dropped: 0,
+                held_up: false,
             });
         }
         Ok(())
     }
 
-    /// Closes the connection that was idle longest, between requests, to make room.
+    /// Closes a connection between requests to make room: one that never asked, or the one that was idle
+    /// longest. Danger: a crowd that connects and says nothing would drive out those that do ask.
     fn evict(&mut self) {
-        let idle = self.all.iter().filter(|(_, c)| c.idle()).min_by_key(|(_, c)| c.moved);
-        if let Some((key, _)) = idle {
-            self.all.remove(key);
+        let idle = self.all.iter().filter(|(_, c)| c.idle());
+        let mut idle: Vec<(bool, Nanos, usize)> = idle.map(|(key, c)| (c.asked, c.moved, key)).collect();
+        idle.sort_unstable();
+        // One with a command on its way is passed over, if it can be: closing would cross it.
+        let quiet = idle.iter().find(|(_, _, key)| self.all.get(*key).is_some_and(Client::quiet));
+        if let Some((_, _, key)) = quiet.or(idle.first()) {
+            self.remove(*key);
         }
     }
 
@@ -351,6 +390,12 @@
     pub fn read(&mut self, key: usize, closed: bool, config: &Config, buffer: &mut [u8], now: Nanos) {
         for _ in 0..READS {
             let Some(client) = self.all.get_mut(key).filter(|c| !c.eof) else { return };
+            // Guards against clients that ask faster than they read; the sockets between hold the rest.
+            client.held_up = client.backlog() > HIGH;
+            // Danger: to read to its end what a client still sends after its error takes the time of others.
+            if client.held_up || client.dropped > LINGER_BYTES {
+                return;
+            }
             match client.stream.read(buffer) {
                 Ok(0) => {
                     client.eof = true;
@@ -361,6 +406,8 @@
                     client.moved = now;
                     if client.lingering.is_none() && !client.closing {
                         self.input(key, &buffer[..n], config, now);
+                    } else {
+                        client.dropped += n;
                     }
                     // A short read emptied the socket; only an end of the stream may stand behind it.
                     if n < buffer.len() && !closed {
@@ -420,6 +467,11 @@
         let name = command.arg(0);
         let query = name.eq_ignore_ascii_case(b"CACHE.GET") || name.eq_ignore_ascii_case(b"CACHE.SET");
         if !query {
+            let known =
+                |n: &[u8]| [&b"PING"[..], b"CLIENT", b"SELECT"].iter().any(|k| n.eq_ignore_ascii_case(k));
+            if known(name) {
+                client.newcomer = None;
+            }
             let answer: &[u8] = match name {
                 n if n.eq_ignore_ascii_case(b"PING") => b"+PONG\r\n",
                 n if n.eq_ignore_ascii_case(b"CLIENT") || n.eq_ignore_ascii_case(b"SELECT") => b"+OK\r\n",
@@ -443,6 +495,7 @@
                 let id = self.next_id;
                 self.next_id += 1;
                 client.slots.push_back(Slot::Waiting(id));
+                (client.newcomer, client.asked) = (None, true);
                 self.news.push_back(News::Query(id, place, Rc::new(query)));
             }
             Err(answer) => self.reply_next(key, answer.as_bytes()),
@@ -457,6 +510,8 @@
             return;
         }
         client.slots.push_back(Slot::Ready(answer.to_vec()));
+        client.held += answer.len();
+        self.backlog += answer.len();
         self.advance(key);
     }
 
@@ -473,61 +528,20 @@
             client.out.extend_from_slice(answer);
             client.slots.pop_front();
             client.first += 1;
-            self.backlog += answer.len();
         } else {
+            client.held += answer.len();
             client.slots[at] = Slot::Ready(answer.to_vec());
         }
+        self.backlog += answer.len();
         self.advance(place.client);
     }
 
-    /// Begins to pass on a long value.
-    pub fn begin(&mut self, place: Place, id: RequestId, from: usize) {
-        if let Some((client, at)) = self.slot(place) {
-            client.slots[at] = Slot::Long { id, from, held: Vec::new(), done: false };
-        }
-    }
-
-    /// Passes on a part of a long value, perhaps the last. False if the cache node should pause.
-    pub fn pass(&mut self, place: Place, part: &[u8], last: bool) -> bool {
-        let Some((client, at)) = self.slot(place) else { return true };
-        if let Slot::Long { held, done, .. } = &mut client.slots[at] {
-            held.extend_from_slice(part);
-            *done = last;
-        }
-        self.advance(place.client);
-        self.all.get(place.client).is_none_or(|client| {
-            let held = match client.slots.get(at) {
-                Some(Slot::Long { held, .. }) => held.len(),
-                _ => 0,
-            };
-            client.backlog() + held < HIGH
-        })
-    }
-
-    /// Gives up a long value that broke off. Danger: with anything more on the connection, the client could
-    /// take what follows for the rest of the value; the end of the connection shows that it is not whole.
-    pub fn break_off(&mut self, place: Place) {
-        self.remove(place.client);
-    }
-
     /// Moves what can go out in order to the output.
     fn advance(&mut self, key: usize) {
         let Some(client) = self.all.get_mut(key) else { return };
-        loop {
-            match client.slots.front_mut() {
-                Some(Slot::Ready(answer)) => {
-                    self.backlog += answer.len();
-                    client.out.append(answer);
-                }
-                Some(Slot::Long { held, done, .. }) => {
-                    self.backlog += held.len();
-                    client.out.append(held);
-                    if !*done {
-                        break;
-                    }
-                }
-                Some(Slot::Waiting(_)) | None => break,
-            }
+        while let Some(Slot::Ready(answer)) = client.slots.front_mut() {
+            client.held -= answer.len();
+            client.out.append(answer);
             client.slots.pop_front();
             client.first += 1;
         }
@@ -568,16 +582,15 @@
         }
         if client.written == client.out.len() {
             client.out.clear();
-            client.out.shrink_to(LONG_VALUE);
+            client.out.shrink_to(KEPT);
             client.written = 0;
         } else if client.written > HIGH {
             client.out.drain(..client.written);
             client.written = 0;
         }
-        if client.backlog() < HIGH {
-            if let Some(Slot::Long { from, .. }) = client.slots.front() {
-                self.resume.push(*from);
-            }
+        if client.held_up && client.backlog() <= HIGH {
+            client.held_up = false;
+            self.again.push(key);
         }
         if client.slots.is_empty() && client.backlog() == 0 {
             if client.eof {
@@ -603,7 +616,7 @@
         self.backlog = self.backlog.saturating_sub(client.backlog());
         for slot in client.slots {
             match slot {
-                Slot::Waiting(id) | Slot::Long { id, .. } => self.news.push_back(News::Gone(id)),
+                Slot::Waiting(id) => self.news.push_back(News::Gone(id)),
                 Slot::Ready(_) => {}
             }
         }
@@ -614,10 +627,11 @@
         let since = |at: Nanos, most: Nanos| now.saturating_sub(at) > most;
         let (mut gone, mut slow) = (Vec::new(), Vec::new());
         for (key, c) in &self.all {
-            if (c.backlog() > 0 && since(c.moved, STALLED)) || c.lingering.is_some_and(|at| since(at, LINGER))
-            {
+            let unread = c.out.len() > c.written && since(c.moved, STALLED);
+            let silent = c.newcomer.is_some_and(|at| since(at, ASKING)) || since(c.moved, IDLE);
+            if unread || c.lingering.is_some_and(|at| since(at, LINGER)) || (silent && c.quiet()) {
                 gone.push(key);
-            } else if !c.closing && c.midway_since.is_some_and(|at| since(at, STALLED)) {
+            } else if !c.closing && c.midway_since.is_some_and(|at| since(at, ASKING)) {
                 slow.push(key);
             }
         }
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -19,7 +19,7 @@
 const PATIENCE: Nanos = 1_500 * MS;
 /// The longest head of an answer, and the longest body.
 const MAX_HEAD: usize = 16 << 10;
-const MAX_BODY: usize = 8 << 20;
+const MAX_BODY: usize = 1 << 20;
 /// The longest line that tells a chunk's size.
 const MAX_CHUNK_LINE: usize = 256;
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -20,7 +20,7 @@
 use mio::{Events, Interest, Poll, Token};
 use rustc_hash::FxHashMap;
 use signal_hook::consts::{SIGHUP, SIGTERM};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::io::{self, Read};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -113,8 +113,6 @@
     attempts: u32,
     out: Vec<Attempt>,
     answered: bool,
-    /// The attempt whose long value is being passed on.
-    streaming: Option<u32>,
     /// The module has been told that the client left; what is under way may still be answered.
     left: bool,
 }
@@ -135,6 +133,8 @@
     upstreams: Upstreams,
     discovery: Discovery,
     open: FxHashMap<RequestId, Open>,
+    /// The ids that clients gave to these. They choose them, so the hash is keyed.
+    ids: HashSet<Box<[u8]>>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     buffer: Vec<u8>,
@@ -172,6 +172,7 @@
             upstreams: Upstreams::new(&config, half),
             discovery: Discovery::new(config.discovery, config.names.clone(), version, DISCOVERY),
             open: FxHashMap::default(),
+            ids: HashSet::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
             buffer: vec![0; BUFFER],
@@ -263,8 +264,6 @@
                 self.attempt_news(news);
             } else if let Some(news) = self.clients.news() {
                 self.client_news(news);
-            } else if let Some(key) = self.clients.resume() {
-                self.upstreams.resume(key);
             } else if self.events.is_empty() {
                 return;
             }
@@ -325,7 +324,7 @@
         let attempt = open.attempts;
         open.attempts += 1;
         open.out.push(Attempt { number: attempt, server, sent: self.now, connection: None });
-        let over = open.answered || open.left || open.streaming.is_some() || open.until <= self.now;
+        let over = open.answered || open.left || open.until <= self.now;
         if over || attempt >= self.config.settings.max_attempts.max(1) {
             self.end_attempt(id, attempt, Status::Moot);
             return;
@@ -375,6 +374,11 @@
             self.clients.answer(place, client::BUSY);
             return;
         }
+        // Danger: cache nodes take a second request under an id that is open for another copy of the first.
+        if !self.ids.insert(query.id().into()) {
+            self.clients.answer(place, client::ID_IN_USE);
+            return;
+        }
         let margin = MARGIN.min(query.wait / 10);
         let until = self.since + query.wait - margin;
         let request = Request {
@@ -387,16 +391,7 @@
             repeat: query.repeat,
             write: query.write,
         };
-        let open = Open {
-            place,
-            query,
-            until,
-            attempts: 0,
-            out: Vec::new(),
-            answered: false,
-            streaming: None,
-            left: false,
-        };
+        let open = Open { place, query, until, attempts: 0, out: Vec::new(), answered: false, left: false };
         self.open.insert(id, open);
         self.timers.set(until, Due::Deadline(id));
         self.events.push_back(Event::Arrival(request));
@@ -404,9 +399,7 @@
 
     /// Gives the one final answer.
     fn answer(&mut self, id: RequestId, answer: &[u8]) {
-        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered && o.streaming.is_none()) else {
-            return;
-        };
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
         open.answered = true;
         self.clients.answer(open.place, answer);
         self.retire(id);
@@ -415,7 +408,9 @@
     /// Forgets a request that is answered and has no attempt out.
     fn retire(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(|o| o.answered && o.out.is_empty()) {
-            self.open.remove(&id);
+            if let Some(open) = self.open.remove(&id) {
+                self.ids.remove(open.query.id());
+            }
         }
     }
 
@@ -428,12 +423,11 @@
 
     fn deadline(&mut self, id: RequestId) {
         let Some(open) = self.open.get(&id) else { return };
-        let out: Vec<u32> =
-            open.out.iter().map(|a| a.number).filter(|n| open.streaming != Some(*n)).collect();
+        let out: Vec<u32> = open.out.iter().map(|a| a.number).collect();
         out.into_iter().for_each(|n| self.end_attempt(id, n, Status::Timeout));
         self.settle();
         // The module answers when its last attempt has timed out; this holds should it ever not.
-        if self.open.get(&id).is_some_and(|o| !o.answered && o.streaming.is_none()) {
+        if self.open.get(&id).is_some_and(|o| !o.answered) {
             self.events.push_back(Event::Expired(id));
             self.answer(id, client::FAILED);
         }
@@ -464,38 +458,6 @@
                 self.answer(id, &bytes);
                 self.ended(id, attempt, Status::Ok, &reply);
             }
-            upstream::News::Began(id, attempt, connection, bytes) => {
-                let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered && o.streaming.is_none())
-                else {
-                    // Another attempt was quicker.
-                    self.end_attempt(id, attempt, Status::Cancelled);
-                    return;
-                };
-                open.streaming = Some(attempt);
-                self.clients.begin(open.place, id, connection);
-                self.clients.pass(open.place, &bytes, false);
-                self.events.push_back(Event::First(id));
-            }
-            upstream::News::More(id, connection, bytes) => {
-                let Some(open) = self.open.get(&id) else { return };
-                if !self.clients.pass(open.place, &bytes, false) {
-                    self.upstreams.pause(connection);
-                }
-            }
-            upstream::News::Last(id, attempt, reply, bytes) => {
-                if let Some(open) = self.open.get_mut(&id).filter(|o| o.streaming == Some(attempt)) {
-                    open.answered = true;
-                    self.clients.pass(open.place, &bytes, true);
-                }
-                self.ended(id, attempt, Status::Ok, &reply);
-            }
-            upstream::News::Broke(id, attempt) => {
-                if let Some(open) = self.open.get_mut(&id).filter(|o| o.streaming == Some(attempt)) {
-                    open.answered = true;
-                    self.clients.break_off(open.place);
-                }
-                self.ended(id, attempt, Status::Reset, &resp::Reply::default());
-            }
         }
     }
 
--- a/src/proxy/upstream.rs
+++ b/src/proxy/upstream.rs
@@ -6,7 +6,7 @@
 use super::client::Query;
 use super::config::Config;
 use super::discovery::News as List;
-use super::resp::{Found, Kind, Reply, ReplyParser, LONG_VALUE};
+use super::resp::{Kind, Reply, ReplyParser};
 use calicosaddle::api::{Nanos, RequestId, ServerId, State, Status};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
@@ -29,8 +29,11 @@
 /// A request that a node no longer listened for is reset within a round trip; one that broke off later was at
 /// work.
 const CROSSED: Nanos = 50 * MS;
-/// A node pauses within a long value for 0.1 s at most; one that is silent for so long is gone.
-const STALLED: Nanos = 3_000 * MS;
+/// A node writes a reply in one go, with pauses of 0.1 s at the most; what is silent for longer within one is
+/// not going to end it.
+const STALLED: Nanos = 200 * MS;
+/// What an idle connection keeps of its buffer.
+const KEPT: usize = 4 << 10;
 /// A longer write goes out from where it lies instead of being copied behind its command.
 const COPIED: usize = 16 << 10;
 /// Reads of one connection before others have their turn.
@@ -56,14 +59,6 @@
     Ended(RequestId, u32, Status, Reply),
     /// A whole reply that serves it, and its bytes.
     Served(RequestId, u32, Reply, Vec<u8>),
-    /// A long value begins: the connection that it comes on, and its first bytes.
-    Began(RequestId, u32, usize, Vec<u8>),
-    /// More of it.
-    More(RequestId, usize, Vec<u8>),
-    /// The last of it.
-    Last(RequestId, u32, Reply, Vec<u8>),
-    /// It broke off.
-    Broke(RequestId, u32),
 }
 
 #[derive(Debug)]
@@ -143,10 +138,6 @@
     live: usize,
     parser: ReplyParser,
     reply: Vec<u8>,
-    /// The reply at hand is long and is passed on as it comes.
-    long: bool,
-    /// Its client does not keep up.
-    paused: bool,
     /// When it last carried anything.
     moved: Nanos,
     /// How long it had been idle before the attempt that was written last; 0 if it was not.
@@ -225,10 +216,11 @@
     pub fn list(&mut self, list: &List) {
         if list.whole {
             let named: FxHashSet<ServerId> = list.hosts.iter().map(|h| h.entry.server).collect();
-            self.nodes
-                .iter_mut()
-                .filter(|(id, _)| !named.contains(*id))
-                .for_each(|(_, n)| n.state = State::Gone);
+            let left: Vec<ServerId> = self.nodes.keys().copied().filter(|id| !named.contains(id)).collect();
+            for id in left {
+                self.nodes.entry(id).and_modify(|n| n.state = State::Gone);
+                self.close_idle(id);
+            }
         }
         for host in &list.hosts {
             let e = &host.entry;
@@ -246,8 +238,12 @@
                 self.close_idle(e.server);
             }
         }
-        let left = |n: &Node| n.state == State::Gone && n.connections.is_empty();
-        self.nodes.retain(|_, n| !left(n));
+        self.forget();
+    }
+
+    /// Forgets the nodes that are gone and have no connection left.
+    fn forget(&mut self) {
+        self.nodes.retain(|_, n| n.state != State::Gone || !n.connections.is_empty());
     }
 
     /// Closes the idle connections to a node.
@@ -276,14 +272,9 @@
             self.end(job, Status::Moot);
             return None;
         };
-        let fresh = self.fresh;
-        // The one used last is taken first, so that those too many grow old and close.
-        let idle = node.connections.iter().copied().filter(|k| {
-            self.all.get(*k).is_some_and(|c| c.up && c.depth() == 0 && now.saturating_sub(c.moved) < fresh)
-        });
-        let mut key = idle.max_by_key(|k| self.all[*k].moved);
-        let mut new = None;
-        if key.is_none() && node.connections.len() < self.per_node {
+        let room = node.connections.len() < self.per_node;
+        let (mut key, mut new) = (self.idle(server, now), None);
+        if key.is_none() && room {
             (key, new) = self.open(registry, token, server, now);
         }
         let key = key.or_else(|| self.busy(server));
@@ -298,13 +289,31 @@
         Some((key, new))
     }
 
-    /// The least busy connection that can take one more. Danger: behind an attempt that is over, or a long
-    /// value, an answer may wait for good.
+    /// The idle connection that was used last, so that those too many grow old and close.
+    ///
+    /// Guards against bytes that nobody asked for: each is looked at before it is used again, whatever the loop
+    /// has heard of it so far, since what is there would pass for the next answer. It should catch ends that
+    /// are not yet known as well. It costs a system call for each attempt.
+    fn idle(&mut self, server: ServerId, now: Nanos) -> Option<usize> {
+        loop {
+            let idle =
+                self.nodes.get(&server)?.connections.iter().filter_map(|k| Some((*k, self.all.get(*k)?)));
+            let fit =
+                idle.filter(|(_, c)| c.up && c.depth() == 0 && now.saturating_sub(c.moved) < self.fresh);
+            let (key, c) = fit.max_by_key(|(_, c)| c.moved)?;
+            if c.stream.peek(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock) {
+                return Some(key);
+            }
+            self.close(key);
+        }
+    }
+
+    /// The least busy connection that can take one more. Danger: behind an attempt that is over an answer may
+    /// wait for good.
     fn busy(&self, server: ServerId) -> Option<usize> {
         let keys = self.nodes.get(&server)?.connections.iter().copied();
-        let fits = |c: &Connection| {
-            c.live == c.sent.len() && !c.long && (c.depth() > 0 || !c.up) && c.depth() < self.streams
-        };
+        let fits =
+            |c: &Connection| c.live == c.sent.len() && (c.depth() > 0 || !c.up) && c.depth() < self.streams;
         keys.filter(|k| self.all.get(*k).is_some_and(fits)).min_by_key(|k| self.all[*k].depth())
     }
 
@@ -340,8 +349,6 @@
             live: 0,
             parser: ReplyParser::default(),
             reply: Vec::new(),
-            long: false,
-            paused: false,
             moved: now,
             rested: 0,
             used: false,
@@ -380,10 +387,6 @@
         }
         if c.deserted() && !c.sent.is_empty() {
             self.close(key);
-        } else if c.long && c.sent.front() == Some(&None) {
-            // Danger: held up for a client that has gone, the connection would never be read again, and the
-            // answers behind the long value would not come.
-            self.resume(key);
         }
         true
     }
@@ -413,35 +416,26 @@
 
     /// Closes a connection and tells what became of the attempts on it.
     pub fn close(&mut self, key: usize) {
+        self.end_all(key, Status::Reset);
+    }
+
+    fn end_all(&mut self, key: usize, status: Status) {
         let Some(c) = self.all.try_remove(key) else { return };
         if let Some(node) = self.nodes.get_mut(&c.node) {
             node.connections.retain(|k| *k != key);
         }
-        for (at, sent) in c.sent.into_iter().enumerate() {
-            match sent {
-                Some((id, attempt)) if at == 0 && c.long => self.news.push_back(News::Broke(id, attempt)),
-                Some((id, attempt)) => {
-                    self.news.push_back(News::Ended(id, attempt, Status::Reset, Reply::default()));
-                }
-                None => {}
-            }
+        for (id, attempt) in c.sent.into_iter().flatten() {
+            self.news.push_back(News::Ended(id, attempt, status, Reply::default()));
         }
         for job in c.writing.map(|w| w.job).into_iter().chain(c.queue) {
             self.end(job, Status::ConnectFailed);
         }
     }
 
-    /// Holds up a connection whose client does not keep up.
-    pub fn pause(&mut self, key: usize) {
-        self.all.get_mut(key).into_iter().for_each(|c| c.paused = true);
-    }
-
-    /// Goes on with a connection that was held up.
-    pub fn resume(&mut self, key: usize) {
-        if let Some(c) = self.all.get_mut(key).filter(|c| c.paused) {
-            c.paused = false;
-            self.again.push(key);
-        }
+    /// Ends a connection whose reply can't be read. The attempt that it was for may have run, and so may those
+    /// that wait behind it.
+    fn spoilt(&mut self, key: usize) {
+        self.end_all(key, Status::Spoilt);
     }
 
     /// Drives a connection as far as its socket allows, up to a bound.
@@ -459,7 +453,7 @@
         }
         self.flush(key, now);
         for _ in 0..READS {
-            let Some(c) = self.all.get_mut(key).filter(|c| !c.paused) else { return };
+            let Some(c) = self.all.get_mut(key) else { return };
             match c.stream.read(buffer) {
                 Ok(0) => {
                     self.lost(key, now);
@@ -493,40 +487,28 @@
             let Some(c) = self.all.get_mut(key) else { return true };
             // Danger: an answer that nobody asked for would pass for the next request's.
             let Some(front) = c.sent.front().copied() else { return false };
-            let Ok((used, found)) = c.parser.feed(input) else { return false };
-            let part = &input[..used];
-            input = &input[used..];
-            if let (Some((id, _)), true, Found::Nothing) = (front, c.long, &found) {
-                self.news.push_back(News::More(id, key, part.to_vec()));
-                continue;
-            }
+            let Ok((used, reply)) = c.parser.feed(input) else {
+                self.spoilt(key);
+                return true;
+            };
             if front.is_some() {
-                c.reply.extend_from_slice(part);
+                c.reply.extend_from_slice(&input[..used]);
             }
-            match (found, front) {
-                (Found::Nothing, _) | (Found::Long, None) => {}
-                (Found::Long, Some((id, attempt))) => {
-                    c.long = true;
-                    self.news.push_back(News::Began(id, attempt, key, std::mem::take(&mut c.reply)));
-                }
-                (Found::End(reply), front) => {
-                    let bytes = std::mem::take(&mut c.reply);
-                    let long = std::mem::take(&mut c.long);
-                    c.sent.pop_front();
-                    c.used = true;
-                    if c.rested > 0 {
-                        self.rests.used(std::mem::take(&mut c.rested), false);
-                    }
-                    let Some((id, attempt)) = front else { continue };
-                    c.live -= 1;
-                    self.news.push_back(match reply.kind {
-                        Kind::Served if long => News::Last(id, attempt, reply, bytes),
-                        Kind::Served => News::Served(id, attempt, reply, bytes),
-                        Kind::Busy => News::Ended(id, attempt, Status::Full, reply),
-                        Kind::Failed | Kind::Status => News::Ended(id, attempt, Status::Error, reply),
-                    });
-                }
+            input = &input[used..];
+            let Some(reply) = reply else { continue };
+            let bytes = std::mem::take(&mut c.reply);
+            c.sent.pop_front();
+            c.used = true;
+            if c.rested > 0 {
+                self.rests.used(std::mem::take(&mut c.rested), false);
             }
+            let Some((id, attempt)) = front else { continue };
+            c.live -= 1;
+            self.news.push_back(match reply.kind {
+                Kind::Served => News::Served(id, attempt, reply, bytes),
+                Kind::Busy => News::Ended(id, attempt, Status::Full, reply),
+                Kind::Failed => News::Ended(id, attempt, Status::Error, reply),
+            });
         }
         // Only attempts that are over are left: closing spares the node their work.
         self.all.get(key).is_none_or(|c| !c.deserted() || c.sent.is_empty())
@@ -574,7 +556,7 @@
                         c.sent.push_back(Some((w.job.id, w.job.attempt)));
                         c.live += 1;
                         c.writing = None;
-                        c.out.shrink_to(LONG_VALUE);
+                        c.out.shrink_to(KEPT);
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
@@ -587,23 +569,53 @@
         }
     }
 
-    /// Closes what stood idle too long, and what fell silent within a long value.
+    /// Closes what stood idle too long, and what fell silent within a reply. Guards against replies that say
+    /// that they are longer than they are, or don't end; should also catch a node that dies while it writes.
     pub fn sweep(&mut self, now: Nanos) {
         let passed = now.saturating_sub(std::mem::replace(&mut self.swept, now)).min(1_000 * MS);
         self.rests.fade(passed);
         self.fresh = self.rests.fresh(self.stated);
         let over = |c: &Connection| {
             let since = now.saturating_sub(c.moved);
-            (c.depth() == 0 && c.up && since >= self.fresh) || (c.long && !c.paused && since >= STALLED)
+            (c.depth() == 0 && c.up && since >= self.fresh) || (c.parser.midway() && since >= STALLED)
         };
         let over: Vec<usize> = self.all.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
-        over.into_iter().for_each(|key| self.close(key));
+        over.into_iter().for_each(|key| self.spoilt(key));
+        self.forget();
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::proxy::config::tests::sample;
+    use crate::proxy::discovery::Host;
+    use calicosaddle::api::Entry;
+    use std::net::TcpListener;
+    use std::time::{Duration, Instant};
+
+    #[test]
+    fn bytes_that_nobody_asked_for_are_seen_before_a_connection_is_used_again() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let poll = mio::Poll::new().expect("a poll");
+        let mut upstreams = Upstreams::new(&sample(), 8);
+        let entry = Entry { server: 7, ..Entry::default() };
+        let hosts = vec![Host { entry, dial: listener.local_addr().ok() }];
+        upstreams.list(&List { version: 1, whole: true, hosts });
+        let key = upstreams.open(poll.registry(), Token, 7, 0).0.expect("a connection");
+        let mut node = listener.accept().expect("accepted").0;
+        upstreams.all[key].up = true;
+        assert_eq!(upstreams.idle(7, 0), Some(key));
+        node.write_all(b"-BUSY\r\n").expect("written");
+        let begun = Instant::now();
+        while upstreams.all[key].stream.peek(&mut [0]).is_err() {
+            assert!(begun.elapsed() < Duration::from_secs(20), "nothing came");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        // The loop has not heard of them, and the connection goes all the same.
+        assert_eq!(upstreams.idle(7, 0), None);
+        assert!(upstreams.all.is_empty());
+    }
 
     #[test]
     fn an_idle_time_is_given_up_by_the_part_that_breaks_and_tried_again_later() {
