The module learns how much each server takes at once

At fault: Brain::choose took a server for roomy up to two and more of its own attempts, whatever that server said (places differ from 2 to 4, and other proxies use them too); and Brain::outcome took a 'full' for a sign of life, so that a hung node cleared itself by turning away what it had no room for.

Each server now has a limit that each 'full' cuts to 0.85 of what was out and each answer raises by 0.03; 'full' clears no suspicion. Both tests fail on the old module.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,6 +33,15 @@
 const STEP: Nanos = 250 * MS;
 /// A bucket's part of one server's even share that it may bring before it is spread.
 const HOT: f64 = 0.6;
+/// What a server takes at once from this proxy: at first and at the most; what each answer adds, and what is
+/// left after one turned away.
+/// Guards against filling places that a slow server, or one that other proxies use too, does not have: each
+/// attempt turned away costs a round trip and is a miss elsewhere all the same. It should catch any loss of
+/// capacity that nobody reports. Danger: a server that turns away for another reason keeps fewer of its keys.
+const LIMIT: f64 = 4.0;
+const MOST: f64 = 16.0;
+const MORE: f64 = 0.03;
+const LESS: f64 = 0.85;
 /// Retries and hedges earned by each request.
 const BUDGET: f64 = 0.1;
 /// Timer tokens: the low bits are a request id.
@@ -62,6 +71,8 @@
     backoff: Nanos,
     tokens: f64,
     tokens_at: Nanos,
+    /// Attempts of this proxy that it takes at once without turning one away or answering late.
+    limit: f64,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -276,7 +287,8 @@
         }
         let server = entry.server;
         let tokens = self.chance();
-        let fresh = Server { entry, inverse_weight, tokens, tokens_at: now, ..Server::default() };
+        let fresh =
+            Server { entry, inverse_weight, tokens, tokens_at: now, limit: LIMIT, ..Server::default() };
         let i = if let Some(i) = self.free.pop() {
             self.servers[i as usize] = fresh;
             i
@@ -549,7 +561,7 @@
         }
         let mean = self.inflight / self.total_weight.max(1e-9);
         let cold: Vec<u32> = order.iter().copied().filter(|&i| self.cold_allows(now, i, false)).collect();
-        let roomy = |s: &Server| s.inflight < 2.0 + 2.0 * mean / s.inverse_weight;
+        let roomy = |s: &Server| s.inflight < s.limit.min(2.0 + 2.0 * mean / s.inverse_weight);
         let mut first = cold.iter().copied().take(SIGMA.max(spread));
         let chosen = first.find(|&i| roomy(&self.servers[i as usize]));
         let chosen = chosen.or(cold.first().copied())?;
@@ -714,6 +726,11 @@
         let Outcome { id, server, status, elapsed, hit, .. } = *o;
         if let Some(&i) = self.by_id.get(&server) {
             let s = &mut self.servers[i as usize];
+            match status {
+                Status::Full => s.limit = (LESS * s.limit.min(s.inflight)).max(1.0),
+                Status::Ok => s.limit = (s.limit + MORE).min(MOST),
+                _ => {}
+            }
             let held = s.inflight.min(1.0);
             s.inflight -= held;
             self.inflight -= held;
@@ -735,7 +752,9 @@
             _ if !cache => {}
             // An answer that came far too late clears nobody: work is jammed there.
             Status::Ok if jammed => self.failed(now, server, 1),
-            Status::Ok | Status::Error | Status::Full | Status::Miss => self.clear(server),
+            // A silent server turns away what it has no room for: that clears nobody.
+            Status::Full => {}
+            Status::Ok | Status::Error | Status::Miss => self.clear(server),
             Status::ConnectFailed => self.failed(now, server, 2),
             // Danger: connections break one by one, too, at servers that are well; to leave a server for each
             // would leave most of the fleet alone. One that died refuses the next connection.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -149,6 +149,51 @@
     assert!(back.contains(&first), "after its suspicion the server is tried again");
 }
 
+#[test]
+fn a_silent_server_is_not_cleared_by_what_it_turns_away() {
+    let mut p = Proxy::with(settings(), entries(0..20));
+    p.crowd(0..100);
+    let first = p.served(KEY, true);
+    for _ in 0..3 {
+        for status in [Status::Timeout, Status::Full] {
+            let (id, actions) = p.ask(KEY);
+            if sent(&actions) != Some(first) {
+                return;
+            }
+            p.now += 400 * MS;
+            p.end_after(id, 0, first, status, None, 400 * MS);
+        }
+        p.crowd(0..5);
+    }
+    panic!("three time-outs, and the key still goes there");
+}
+
+#[test]
+fn a_server_that_turns_requests_away_is_sent_fewer_at_once() {
+    let mut p = Proxy::with(settings(), entries(0..20));
+    p.crowd(0..400);
+    let first = (0..5).map(|_| p.served(KEY, true)).last().expect("one");
+    let (one, actions) = p.ask(KEY);
+    assert_eq!(sent(&actions), Some(first));
+    // It has no room for two.
+    let mut turned_away = 0;
+    for _ in 0..8 {
+        let (two, actions) = p.ask(KEY);
+        let mut server = sent(&actions).expect("sent");
+        if server == first {
+            turned_away += 1;
+            server = sent(&p.end(two, 0, first, Status::Full, None)).expect("sent again");
+            p.end(two, 1, server, Status::Ok, Some(false));
+        } else {
+            p.end(two, 0, server, Status::Ok, Some(false));
+        }
+    }
+    assert!((1..6).contains(&turned_away), "{turned_away} of 8 were sent there");
+    // One at a time it goes on to take.
+    p.end(one, 0, first, Status::Ok, Some(true));
+    assert_eq!(p.served(KEY, true), first);
+}
+
 #[test]
 fn a_cold_server_gets_no_more_than_it_can_bear() {
     // Danger: a burst of hot keys soon after a start pushes a cold server over for good.
