Tries with less time than their aim say nothing to the valves

Ruled out: silent nodes (those with 190 ms were served), lists (none changed). At fault: Brain::arrival, which let any try but a hopeless one count for the valves; only the mean of what was served decided that. Brain::ended then took each time-out for a jam.

Such tries no longer count.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -700,6 +700,10 @@
                 aim = aim.min(class.aim.saturating_sub(class.deadline.saturating_sub(r.remaining)));
             }
         }
+        // Guards against shedding for clients' sake: one that gives a try less time than its class's aim runs out
+        // of it at healthy servers too. It should also catch retries that come late. Danger: where no try has
+        // that time, nothing is ever shed.
+        let telling = r.remaining >= class.aim / 4 * 3;
         let hopeless = class.late_value <= 0.0 && (aim as f64) < 0.5 * self.usual(r.class as usize).mean;
         let bucket = r.key.map(|k| (mix(k) % BUCKETS) as u32);
         // Danger: where misses jam the origin, hits go on and would hide it, or be refused with the misses:
@@ -716,7 +720,7 @@
             aim_at: now + aim,
             deadline: now + r.remaining,
             streaming: false,
-            judged: !hopeless,
+            judged: telling && !hopeless,
             proven,
             arrived: now,
             attempts: Vec::new(),
