A bucket's candidate that is too slow for a request is passed over

At fault: Brain::choose, which took the first candidate with room, whatever time the request had left and however long that server takes.

Each server's hits are timed, and of the candidates the first with room whose hits take less than 0.8 of the time to the aim is asked.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -53,6 +53,8 @@
 const SHARE_GAIN: f64 = 0.015;
 const STRAINED: f64 = 1.3;
 const CALM: f64 = 0.1;
+/// A server whose hits take more than this part of the time to the aim is too slow for a request.
+const QUICK: f64 = 0.8;
 /// Retries and hedges earned by each request.
 const BUDGET: f64 = 0.1;
 /// Timer tokens: the low bits are a request id.
@@ -87,6 +89,8 @@
     /// Mean square of its answers' times, as parts of their aims, lately; and the part of its buckets it keeps.
     strain: f64,
     share: f64,
+    /// Mean time of its hits, lately; 0 while unknown.
+    pace: f64,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -297,7 +301,7 @@
                 // A changed start means a new process: no cache, no history of failures.
                 (s.fails, s.suspect_until, s.backoff) = (0, 0, 0);
                 (s.tokens, s.tokens_at) = (unit(mix(self.random ^ entry.started)), now);
-                (s.strain, s.share) = (self.strain, 1.0);
+                (s.strain, s.share, s.pace) = (self.strain, 1.0, 0.0);
             }
             (s.inverse_weight, s.entry) = (inverse_weight, entry);
             return;
@@ -591,9 +595,12 @@
         let mean = self.inflight / self.total_weight.max(1e-9);
         let cold: Vec<u32> = order.iter().copied().filter(|&i| self.cold_allows(now, i, false)).collect();
         let roomy = |s: &Server| s.inflight < s.limit.min(2.0 + 2.0 * mean / s.inverse_weight);
-        let mut first = cold.iter().copied().take(SIGMA.max(spread));
-        let chosen = first.find(|&i| roomy(&self.servers[i as usize]));
-        let chosen = chosen.or(cold.first().copied())?;
+        let left = open.aim_at.saturating_sub(now) as f64;
+        let quick = |s: &Server| open.scale * s.pace < QUICK * left;
+        let first = &cold[..cold.len().min(SIGMA.max(spread))];
+        let find = |fits: &dyn Fn(&Server) -> bool| first.iter().find(|i| fits(&self.servers[**i as usize]));
+        let chosen = find(&|s| roomy(s) && quick(s)).or_else(|| find(&roomy)).or(cold.first());
+        let chosen = *chosen?;
         self.cold_allows(now, chosen, true);
         Some(chosen)
     }
@@ -782,7 +789,12 @@
             // What a miss takes is the origin's doing.
             let part = (elapsed as f64 / aim as f64).min(1.5);
             match status {
-                Status::Ok if hit != Some(false) => self.strained(i, part * part),
+                Status::Ok if hit != Some(false) => {
+                    self.strained(i, part * part);
+                    let s = &mut self.servers[i as usize];
+                    let gain = if s.pace > 0.0 { 0.1 } else { 1.0 };
+                    s.pace += gain * (elapsed as f64 - s.pace);
+                }
                 Status::Full => self.strained(i, 1.0),
                 _ => {}
             }
