A refusal says when to come back where servers turn work away

Tries go up to 1.6 a request: refused clients come back at once, fill the queues and have the next ones refused, and a second try is late whatever it gets. Ruled out: shedding (none), full connection tables (108 connections not made), hung nodes asked again (one or two each in 2 s once they are known). At fault: Brain::give_up, which gave a time only while the valves shed.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,6 +55,8 @@
 const CALM: f64 = 0.1;
 /// A server whose hits take more than this part of the time to the aim is too slow for a request.
 const QUICK: f64 = 0.8;
+/// With so great a part of the attempts turned away, clients are told to stay away for as long as may be.
+const JAMMED: f64 = 0.2;
 /// Retries and hedges earned by each request.
 const BUDGET: f64 = 0.1;
 /// Timer tokens: the low bits are a request id.
@@ -1003,9 +1005,12 @@
             Effect::Unsafe => !ran,
         };
         if harmless {
-            // Advice to stay away while not all is taken.
+            // Advice to stay away while not all is taken, or while servers turn work away: the longer, the more.
+            // Guards against clients that come back at once, fill the queues anew and get the next one refused.
+            // Danger: after a jam that was short they stay away for longer than they had to.
             let shedding = self.valves[usize::from(open.proven)].taken < 1.0;
-            let wait = if shedding { self.settings.max_retry_after } else { 0 };
+            let jam = if shedding { 1.0 } else { (self.full / JAMMED).min(1.0) };
+            let wait = (jam * self.settings.max_retry_after as f64) as Nanos;
             actions.push(Action::Refuse { id, retry_after: wait });
         } else {
             actions.push(Action::Fail { id });
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -170,6 +170,103 @@
     assert!(before >= 8 && 2 * after <= before + 4, "{before} keys at the slow node, then {after}");
 }
 
+#[test]
+fn a_node_too_slow_for_the_time_left_is_passed_over() {
+    let nodes = Server::many(2);
+    let proxy = Proxy::start(&nodes);
+    let mut clients: Vec<Peer> = (0..8).map(|_| proxy.client()).collect();
+    let mut peers = Vec::new();
+    // Each key's node is the one that it is asked at; the first one takes its time.
+    let mut slow = 0;
+    let mut waiting = Vec::new();
+    for (key, client) in (0..).zip(&mut clients) {
+        client.get(key, "read", 15_000);
+        let (i, _) = nodes.any(&mut peers);
+        if peers[i].at == 0 {
+            slow += 1;
+            waiting.push((i, client));
+        } else {
+            peers[i].send(hit("v"));
+            assert_eq!(client.command()[0], "v");
+        }
+    }
+    std::thread::sleep(std::time::Duration::from_millis(2_000));
+    for (i, client) in waiting {
+        peers[i].send(hit("v"));
+        assert_eq!(client.command()[0], "v");
+    }
+    assert!(slow > 0 && slow < 8, "{slow} of 8 keys at the slow node");
+    for (key, client) in (0..).zip(&mut clients) {
+        client.get(key, "read", 2_200);
+        let (i, _) = nodes.any(&mut peers);
+        assert_eq!(peers[i].at, 1, "a hit at the other node takes longer than the client waits");
+        peers[i].send(hit("v"));
+        assert_eq!(client.command()[0], "v");
+    }
+}
+
+#[test]
+fn clients_in_a_hurry_close_no_valve_to_others() {
+    let node = Server::start();
+    let proxy = Proxy::start(&node);
+    let mut clients: Vec<Peer> = (0..8).map(|_| proxy.client()).collect();
+    let mut peers = Vec::new();
+    for key in 0..8 {
+        clients[0].get(key, "read", 15_000);
+        let (i, _) = node.any(&mut peers);
+        std::thread::sleep(std::time::Duration::from_millis(120));
+        peers[i].send(hit("v"));
+        assert_eq!(clients[0].command()[0], "v");
+    }
+    // Many wait for less time than an answer takes, so none is served.
+    for round in 1..8 {
+        for (key, client) in (100 * round..).zip(&mut clients) {
+            client.get(key, "read", 100);
+        }
+        clients.iter_mut().for_each(|c| assert!(c.line().starts_with("-BUSY")));
+    }
+    // Others have the usual time, and nothing is wrong with the node.
+    for key in 2_000..2_030 {
+        clients[0].get(key, "read", 15_000);
+        loop {
+            let (i, command) = node.any(&mut peers);
+            if command[1] == format!("{key:016x}") {
+                peers[i].send(hit("v"));
+                break;
+            }
+        }
+        assert_eq!(clients[0].command()[0], "v");
+    }
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back_where_nodes_turn_work_away() {
+    let node = Server::start();
+    let proxy = Proxy::with(&node, |c| c["settings"]["caps"]["attempts_cap"] = json!(1));
+    let mut client = proxy.client();
+    let mut peers = Vec::new();
+    let mut ask = |answer: &[u8]| {
+        client.get(1, "read", 15_000);
+        let (i, _) = node.any(&mut peers);
+        peers[i].send(answer);
+        if answer.starts_with(b"*") {
+            assert_eq!(client.command()[0], "v");
+            return 0;
+        }
+        let line = client.line();
+        let wait = line.strip_prefix("-BUSY ").and_then(|ms| ms.parse::<u64>().ok());
+        wait.unwrap_or_else(|| panic!("{line:?} does not say when"))
+    };
+    let first = ask(b"-BUSY\r\n");
+    let later = (0..9).map(|_| ask(b"-BUSY\r\n")).max();
+    // The longest that clients heed, here a second.
+    assert!(first > 0 && first < 1_000 && later == Some(1_000), "{first} ms, then {later:?}");
+    for _ in 0..60 {
+        ask(&hit("v"));
+    }
+    assert!(ask(b"-BUSY\r\n") <= 2 * first, "it is over");
+}
+
 #[test]
 fn a_break_before_the_last_byte_is_no_run() {
     // More than sockets hold, on one connection: unsafe writes of which the last are not written out.
