Clients that ask once and stay do not keep their places

Counted in the proxy: 128 of 176 places, the third of the descriptors that clients may hold, are taken by connections that have asked, nearly all idle for over half a second, and no request waits on any; 48 more say nothing.

While those that have asked hold over a quarter of the places idle, those that asked once go after 250 ms, others after 2 s. The test fails on the old code (10 s).

--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -35,6 +35,12 @@
 const STALLED: Nanos = 5_000 * MS;
 /// Between requests a client may be silent for so long.
 const IDLE: Nanos = 10_000 * MS;
+/// The same for those that have asked, while more than a quarter of the places is taken by such clients: for those
+/// that asked once, and for others.
+/// Guards against clients that ask once and keep their connection for good: they would have all places, and
+/// where fronts may open only so many, nobody who wants to ask gets one. It should also catch pools that are
+/// larger than they are used. Danger: clients that ask every few seconds connect anew each time.
+const IDLE_CROWDED: [Nanos; 2] = [250 * MS, 2_000 * MS];
 /// After the last answer, the time that a client has to close its side, and what it may still send until then.
 const LINGER: Nanos = 250 * MS;
 const LINGER_BYTES: usize = 256 << 10;
@@ -200,8 +206,8 @@
     moved: Nanos,
     /// When it connected, until it has said something that can be understood.
     newcomer: Option<Nanos>,
-    /// It has had a request.
-    asked: bool,
+    /// How many requests it has had; counted up to two.
+    asked: u8,
     /// It ended its sending.
     eof: bool,
     /// It is let go once all it is owed is written.
@@ -357,7 +363,7 @@
                 midway_since: None,
                 moved: now,
                 newcomer: Some(now),
-                asked: false,
+                asked: 0,
                 eof: false,
                 closing: false,
                 lingering: None,
@@ -372,7 +378,7 @@
     /// longest. Danger: a crowd that connects and says nothing would drive out those that do ask.
     fn evict(&mut self) {
         let idle = self.all.iter().filter(|(_, c)| c.idle());
-        let mut idle: Vec<(bool, Nanos, usize)> = idle.map(|(key, c)| (c.asked, c.moved, key)).collect();
+        let mut idle: Vec<(bool, Nanos, usize)> = idle.map(|(key, c)| (c.asked > 0, c.moved, key)).collect();
         idle.sort_unstable();
         // One with a command on its way is passed over, if it can be: closing would cross it.
         let quiet = idle.iter().find(|(_, _, key)| self.all.get(*key).is_some_and(Client::quiet));
@@ -495,7 +501,7 @@
                 let id = self.next_id;
                 self.next_id += 1;
                 client.slots.push_back(Slot::Waiting(id));
-                (client.newcomer, client.asked) = (None, true);
+                (client.newcomer, client.asked) = (None, (client.asked + 1).min(2));
                 self.news.push_back(News::Query(id, place, Rc::new(query)));
             }
             Err(answer) => self.reply_next(key, answer.as_bytes()),
@@ -626,9 +632,15 @@
     pub fn sweep(&mut self, now: Nanos) {
         let since = |at: Nanos, most: Nanos| now.saturating_sub(at) > most;
         let (mut gone, mut slow) = (Vec::new(), Vec::new());
+        let crowded = self.all.iter().filter(|(_, c)| c.asked > 0 && c.idle()).count() > self.limit / 4;
+        let idle = |c: &Client| match c.asked {
+            1 if crowded => IDLE_CROWDED[0],
+            2.. if crowded => IDLE_CROWDED[1],
+            _ => IDLE,
+        };
         for (key, c) in &self.all {
             let unread = c.out.len() > c.written && since(c.moved, STALLED);
-            let silent = c.newcomer.is_some_and(|at| since(at, ASKING)) || since(c.moved, IDLE);
+            let silent = c.newcomer.is_some_and(|at| since(at, ASKING)) || since(c.moved, idle(c));
             if unread || c.lingering.is_some_and(|at| since(at, LINGER)) || (silent && c.quiet()) {
                 gone.push(key);
             } else if !c.closing && c.midway_since.is_some_and(|at| since(at, ASKING)) {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -801,6 +801,27 @@
     }
 }
 
+#[test]
+fn clients_that_ask_once_and_stay_do_not_keep_their_places() {
+    let node = Server::start();
+    // 32 descriptors are kept back; 16 of the others are for clients.
+    let proxy = Proxy::with(&node, |c| c["limits"]["sockets"] = json!(64));
+    let mut peers = Vec::new();
+    let mut ask = |client: &mut Peer| {
+        client.get(1, "read", 15_000);
+        let (i, _) = node.any(&mut peers);
+        peers[i].send(hit("v"));
+        assert_eq!(client.command()[0], "v");
+    };
+    let mut clients: Vec<Peer> = (0..12).map(|_| proxy.client()).collect();
+    clients.iter_mut().for_each(&mut ask);
+    // No place is wanted for another, yet most of them go long before the 10 s that a few may be idle.
+    let begun = std::time::Instant::now();
+    assert!(clients[0].rest().is_empty() && clients[1].rest().is_empty());
+    assert!(begun.elapsed() < std::time::Duration::from_secs(8), "{:?}", begun.elapsed());
+    proxy.is_well();
+}
+
 #[test]
 fn without_descriptors_newcomers_wait_and_are_served_once_there_are_some() {
     let nodes = Server::many(8);
