The workspace: packages by concern, their history followed

Need: later subsystems stand on packages of their own (fleet, agent, tool, stand-ins). The decision module, the RESP codec, the simulator's wire, the proxy, the adapter and the scripted stand-ins of the tests become packages; the proxy is a library with a thin main.

--- a/src/bin/calicosaddle-adapter.rs
+++ b/crates/adapter/src/main.rs
@@ -1,11 +1,10 @@
 //! Plays the bench's wire on standard input and output: one decision module for each instance, nothing shared.
-#![forbid(unsafe_code)]
 
 use calicosaddle::api::{Action, Entry, Event, ListKind, Nanos, ServerId};
-use calicosaddle::wire::{self, Line};
 use calicosaddle::Brain;
 use rustc_hash::FxHashMap;
 use std::io::{self, BufRead, Write};
+use wire::Line;
 
 /// The loop's state. The names of servers serve translation alone; no decision reads them.
 #[derive(Default)]
--- a/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -1,9 +1,9 @@
 //! The codec line by line, and a whole conversation with the adapter's binary.
 
 use calicosaddle::api::*;
-use calicosaddle::wire::{self, Line};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
+use wire::Line;
 
 fn converse(input: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_calicosaddle-adapter"))
--- a/src/proxy/client.rs
+++ b/crates/proxy/src/client.rs
@@ -1,10 +1,10 @@
 //! Clients: the listener, their connections, and answers in the order of the commands.
 
-use super::config::Config;
-use super::resp::{Command, CommandParser, Room, MAX_VALUE};
+use crate::config::Config;
 use calicosaddle::api::{server_id, Effect, Nanos, RequestId};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
+use resp::{Command, CommandParser, Room, MAX_VALUE};
 use slab::Slab;
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
@@ -77,7 +77,7 @@
 impl Query {
     fn read(command: Command, config: &Config) -> Result<Query, &'static str> {
         let write = command.arg(0).eq_ignore_ascii_case(b"CACHE.SET");
-        if command.len() != if write { 5 } else { 4 } {
+        if command.arity() != if write { 5 } else { 4 } {
             return Err("-ERR wrong number of arguments\r\n");
         }
         // What cache nodes can't use is not passed on: they may close on it, and on all that waits behind it.
@@ -130,7 +130,7 @@
     /// Writes the command for a cache node, but for a write's value, with the time that the proxy will wait.
     pub fn encode(&self, ms: u64, out: &mut Vec<u8>) {
         // Writing to a vector cannot fail.
-        let _ = write!(out, "*{}\r\n", self.command.len());
+        let _ = write!(out, "*{}\r\n", self.command.arity());
         for i in 0..3 {
             let arg = self.command.arg(i);
             let _ = write!(out, "${}\r\n", arg.len());
--- a/src/proxy/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,8 +1,8 @@
 //! What a proxy is told at its start: NODE_CONFIG, and the variables that repeat parts of it.
 
-use super::discovery::{self, Names, News};
+use crate::discovery::{self, Names, News};
 use calicosaddle::api::{Nanos, Settings};
-use calicosaddle::wire;
+
 use serde_json::Value;
 use std::fmt;
 use std::net::SocketAddr;
@@ -165,7 +165,7 @@
 }
 
 #[cfg(test)]
-pub mod tests {
+pub(crate) mod tests {
     use super::*;
 
     /// A configuration for tests of other parts.
--- a/src/proxy/mod.rs
+++ b/crates/proxy/src/lib.rs
@@ -7,7 +7,6 @@
 mod client;
 pub mod config;
 mod discovery;
-mod resp;
 mod timers;
 mod upstream;
 
--- a/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,12 +1,8 @@
 //! trestlesill: one real proxy. It reads its configuration, listens, and runs until SIGTERM.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
 
-mod proxy;
-
-use proxy::config::Config;
-use proxy::Proxy;
 use std::process::ExitCode;
+use trestlesill::config::Config;
+use trestlesill::Proxy;
 
 fn main() -> ExitCode {
     let run = || -> Result<(), Box<dyn std::error::Error>> {
--- a/src/proxy/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -3,13 +3,13 @@
 //! A connection carries attempts in order. An attempt is checked when its turn to be written comes, and once
 //! its last byte is written it may have run, whatever becomes of the connection.
 
-use super::client::Query;
-use super::config::Config;
-use super::discovery::News as List;
-use super::resp::{Kind, Reply, ReplyParser};
+use crate::client::Query;
+use crate::config::Config;
+use crate::discovery::News as List;
 use calicosaddle::api::{Nanos, RequestId, ServerId, State, Status};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
+use resp::{Kind, Reply, ReplyParser};
 use rustc_hash::{FxHashMap, FxHashSet};
 use slab::Slab;
 use std::collections::VecDeque;
@@ -588,8 +588,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::proxy::config::tests::sample;
-    use crate::proxy::discovery::Host;
+    use crate::config::tests::sample;
+    use crate::discovery::Host;
     use calicosaddle::api::Entry;
     use std::net::TcpListener;
     use std::time::{Duration, Instant};
--- a/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -1,12 +1,9 @@
 //! The real proxy from outside: the built binary between scripted clients, cache nodes and discovery.
 
-#[path = "common/net.rs"]
-mod net;
-
-use net::*;
 use serde_json::json;
 use std::collections::VecDeque;
 use std::io::Read;
+use testkit::scripted::*;
 
 /// A write's receipt.
 const RECEIPT: &str = "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
--- a/src/proxy/resp.rs
+++ b/crates/resp/src/lib.rs
@@ -99,7 +99,7 @@
 
 impl Command {
     /// How many arguments there are, the command's name counted.
-    pub fn len(&self) -> usize {
+    pub fn arity(&self) -> usize {
         self.count
     }
 
@@ -424,7 +424,7 @@
             while !piece.is_empty() {
                 let (used, command) = parser.feed(piece)?;
                 assert!(used > 0, "no progress");
-                all.extend(command.map(|c| (0..c.len()).map(|i| c.arg(i).to_vec()).collect()));
+                all.extend(command.map(|c| (0..c.arity()).map(|i| c.arg(i).to_vec()).collect()));
                 piece = &piece[used..];
             }
         }
@@ -525,7 +525,7 @@
         let held = first.feed(&big).expect("parses").1.expect("whole");
         assert!(held.is_whole() && held.arg(VALUE_AT).len() == 8_000);
         let refused = second.feed(&big).expect("parses").1.expect("whole");
-        assert!(!refused.is_whole() && refused.len() == VALUE_AT + 1);
+        assert!(!refused.is_whole() && refused.arity() == VALUE_AT + 1);
         drop(held);
         assert!(second.feed(&big).expect("parses").1.expect("whole").is_whole());
     }
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for all that a proxy talks to, for tests and for a newcomer's first run. Never a part of a program
+//! that serves.
+
+pub mod scripted;
+
+use std::path::PathBuf;
+
+/// Where a program of this workspace lies: beside the one that runs, or one folder above it for a test.
+///
+/// # Panics
+/// If it has not been built.
+pub fn program(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("this program has a path");
+    let found = own.ancestors().skip(1).take(2).map(|folder| folder.join(name)).find(|p| p.is_file());
+    found.unwrap_or_else(|| panic!("{name} is not built: run `cargo build` in the same profile first"))
+}
--- a/tests/common/net.rs
+++ b/crates/testkit/src/scripted.rs
@@ -1,7 +1,7 @@
 //! The proxy's binary between a scripted client, scripted cache nodes and a scripted discovery, over loopback.
 //! A test plays all of them in turn from one thread; whatever does not come within `PATIENCE` fails it.
-#![allow(dead_code)]
 
+use crate::program;
 use serde_json::{json, Value};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -11,6 +11,7 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
 
+/// Whatever has not come by then fails its test.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
 /// An address of this process alone, so that no other test can take a port between its choice and its use.
@@ -28,15 +29,18 @@
 
 /// One or more listeners, whose connections a test takes one by one.
 pub struct Server {
+    /// Where it listens.
     pub addresses: Vec<SocketAddr>,
     accepted: Receiver<(usize, TcpStream)>,
 }
 
 impl Server {
+    /// One listener.
     pub fn start() -> Server {
         Server::many(1)
     }
 
+    /// So many listeners.
     pub fn many(count: usize) -> Server {
         let (sender, accepted) = channel();
         let listen = |at| {
@@ -92,6 +96,7 @@
 
 /// One end of a connection, with its input.
 pub struct Peer {
+    /// The connection.
     pub stream: TcpStream,
     /// Which of a server's listeners accepted it.
     pub at: usize,
@@ -106,10 +111,12 @@
         Peer { stream, at: 0, input: Vec::new() }
     }
 
+    /// Connects.
     pub fn connect(address: SocketAddr) -> Peer {
         Peer::new(TcpStream::connect(address).expect("connected"))
     }
 
+    /// Writes all of it.
     pub fn send(&mut self, bytes: impl AsRef<[u8]>) {
         self.stream.write_all(bytes.as_ref()).expect("written");
     }
@@ -182,11 +189,13 @@
         socket.set_linger(Some(Duration::ZERO)).expect("linger");
     }
 
+    /// Asks for a key.
     pub fn get(&mut self, key: u64, class: &str, wait_ms: u64) {
         let fields = format!("c={class},d={wait_ms}");
         self.send(encode(&["CACHE.GET", &format!("{key:016x}"), &new_id(), &fields]));
     }
 
+    /// Writes a key.
     pub fn set(&mut self, key: u64, class: &str, wait_ms: u64, value: &str) {
         let fields = format!("c={class},d={wait_ms},k=5c0f");
         self.send(encode(&["CACHE.SET", &format!("{key:016x}"), &new_id(), &fields, value]));
@@ -224,11 +233,13 @@
     format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()).into_bytes()
 }
 
+/// A host of a list, in discovery's form.
 pub fn host(name: &str, address: SocketAddr, health: &str) -> Value {
     json!({"host": name, "dial": address.to_string(), "site": "a", "class": "m1", "block": 0, "health": health,
         "share": 1.0, "born_ms": 0})
 }
 
+/// A list in discovery's form.
 pub fn list(version: u64, whole: bool, hosts: &[Value]) -> Value {
     json!({"seq": version, "whole": whole, "hosts": hosts})
 }
@@ -236,7 +247,9 @@
 /// A proxy that knows these cache nodes; `edit` changes its configuration. Classes: `read` is safe, `put`
 /// keyed at all nodes, `once` unsafe.
 pub struct Proxy {
+    /// Where clients connect.
     pub address: SocketAddr,
+    /// The process.
     pub child: Child,
     path: PathBuf,
 }
@@ -268,7 +281,7 @@
 
 /// Runs the binary on a configuration.
 pub fn launch(config: &str) -> Child {
-    launch_by(Command::new(env!("CARGO_BIN_EXE_trestlesill")), config).0
+    launch_by(Command::new(program("trestlesill")), config).0
 }
 
 fn launch_by(mut program: Command, config: &str) -> (Child, PathBuf) {
@@ -281,20 +294,22 @@
 }
 
 impl Proxy {
+    /// A proxy that knows these.
     pub fn start(nodes: &Server) -> Proxy {
         Proxy::with(nodes, |_| {})
     }
 
+    /// The same, its configuration changed.
     pub fn with(nodes: &Server, edit: impl FnOnce(&mut Value)) -> Proxy {
         let mut config = config(&nodes.addresses);
         edit(&mut config);
-        Proxy::by(Command::new(env!("CARGO_BIN_EXE_trestlesill")), config)
+        Proxy::by(Command::new(program("trestlesill")), config)
     }
 
     /// A proxy that can have no more than so many descriptors, whatever its configuration says.
     pub fn starved(nodes: &Server, descriptors: u32) -> Proxy {
         let mut shell = Command::new("/bin/sh");
-        let program = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_trestlesill"));
+        let program = format!("ulimit -n {descriptors}; exec {}", program("trestlesill").display());
         shell.args(["-c", &program]);
         Proxy::by(shell, config(&nodes.addresses))
     }
@@ -311,10 +326,12 @@
         proxy
     }
 
+    /// A new client of it.
     pub fn client(&self) -> Peer {
         Peer::connect(self.address)
     }
 
+    /// Sends it a signal, as `kill` names it (`-TERM`).
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
@@ -328,6 +345,7 @@
         self.signal("-HUP");
     }
 
+    /// Waits for its end.
     pub fn wait(&mut self) -> ExitStatus {
         let begun = Instant::now();
         loop {
--- a/src/wire.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,6 @@
 //! Text codec of the bench's wire: one line a message, parts separated by single spaces, `-` for absent.
 
-use crate::api::*;
+use calicosaddle::api::*;
 use std::fmt::Write as _;
 
 /// A parsed input line.
