--- a/crates/calicosaddle/src/api.rs
+++ b/crates/calicosaddle/src/api.rs
@@ -43,7 +43,7 @@
 }
 
 /// A request class.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Class {
     /// Full worth is earned up to here.
     pub aim: Nanos,
@@ -64,14 +64,14 @@
 }
 
 /// A tenant's share.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tenant {
     /// Requests a second in its share, over all proxies.
     pub quota_rps: f64,
 }
 
 /// What the proxy is told at start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// Request classes.
     pub classes: Vec<Class>,
@@ -285,6 +285,12 @@
     },
     /// The list is to be had from another place: calls and the subscription at the old one are over.
     ListMoved,
+    /// These servers are to get nothing new, whatever lists say of them: all that operators withdrew, also those
+    /// that no list names yet.
+    Withdrawn(Vec<ServerId>),
+    /// Other settings hold from now on. The classes are the same by number, name and effect, and the zone, this
+    /// proxy's number and the place of the origin stay.
+    Settings(Box<Settings>),
     /// A request arrived.
     Arrival(Request),
     /// An attempt ended.
--- a/crates/calicosaddle/src/brain.rs
+++ b/crates/calicosaddle/src/brain.rs
@@ -4,7 +4,7 @@
 //! its last TAU outcomes; the first candidate with TAU hits in a row wins the bucket and keeps it.
 
 use crate::api::*;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 /// Candidates of a bucket.
 const SIGMA: usize = 2;
@@ -77,6 +77,8 @@
 #[derive(Default)]
 struct Server {
     entry: Entry,
+    /// An operator wants nothing new to go to it.
+    withdrawn: bool,
     inverse_weight: f64,
     inflight: f64,
     fails: u32,
@@ -172,6 +174,7 @@
     random: u64,
     // discovery
     by_id: FxHashMap<ServerId, u32>,
+    withdrawn: FxHashSet<ServerId>,
     servers: Vec<Server>,
     free: Vec<u32>,
     version: u64,
@@ -219,6 +222,8 @@
         match event {
             Event::List { kind, entries } => self.list(now, kind, entries, actions),
             Event::ListMoved => self.list_moved(actions),
+            Event::Withdrawn(servers) => self.withdraw(servers),
+            Event::Settings(settings) => self.settings = *settings,
             Event::Arrival(request) => self.arrival(now, request, actions),
             Event::Outcome(o) => self.outcome(now, &o, actions),
             Event::Probed { server, status: Status::Ok, .. } => self.clear(server),
@@ -248,7 +253,7 @@
             return;
         }
         if kind != ListKind::Delta {
-            let named: rustc_hash::FxHashSet<ServerId> = entries.iter().map(|e| e.server).collect();
+            let named: FxHashSet<ServerId> = entries.iter().map(|e| e.server).collect();
             let mut gone: Vec<ServerId> = self.by_id.keys().filter(|s| !named.contains(s)).copied().collect();
             gone.sort_unstable();
             gone.into_iter().for_each(|s| self.remove(s));
@@ -260,11 +265,7 @@
                 self.upsert(now, entry);
             }
         }
-        self.version += 1;
-        let ready: Vec<f64> =
-            self.servers.iter().filter(|s| self.ranks(s)).map(|s| 1.0 / s.inverse_weight).collect();
-        self.total_weight = ready.iter().sum();
-        self.live = ready.len() as f64;
+        self.recount();
         if self.settings.must_ask {
             if kind == ListKind::Cached {
                 self.ask_later(actions);
@@ -276,8 +277,28 @@
         }
     }
 
+    fn recount(&mut self) {
+        self.version += 1;
+        let ready: Vec<f64> =
+            self.servers.iter().filter(|s| self.ranks(s)).map(|s| 1.0 / s.inverse_weight).collect();
+        self.total_weight = ready.iter().sum();
+        self.live = ready.len() as f64;
+    }
+
+    /// A server takes work only where the list and the operators both say so.
+    fn withdraw(&mut self, servers: Vec<ServerId>) {
+        self.withdrawn = servers.into_iter().collect();
+        let withdrawn = &self.withdrawn;
+        self.servers.iter_mut().for_each(|s| s.withdrawn = withdrawn.contains(&s.entry.server));
+        self.recount();
+    }
+
+    fn takes(s: &Server) -> bool {
+        s.entry.state == State::Ready && !s.withdrawn
+    }
+
     fn ranks(&self, s: &Server) -> bool {
-        s.entry.state == State::Ready && !self.is_origin(s)
+        Self::takes(s) && !self.is_origin(s)
     }
 
     /// The origin of an aside deployment is never a candidate: only misses and writes go there.
@@ -311,7 +332,8 @@
         let server = entry.server;
         let tokens = self.chance();
         let learned = Server { limit: LIMIT, strain: self.strain, share: 1.0, ..Server::default() };
-        let fresh = Server { entry, inverse_weight, tokens, tokens_at: now, ..learned };
+        let withdrawn = self.withdrawn.contains(&server);
+        let fresh = Server { entry, withdrawn, inverse_weight, tokens, tokens_at: now, ..learned };
         let i = if let Some(i) = self.free.pop() {
             self.servers[i as usize] = fresh;
             i
@@ -758,8 +780,7 @@
     }
 
     fn origin(&self, now: Nanos, open: &Open) -> Option<u32> {
-        let fits =
-            |s: &Server| s.entry.state == State::Ready && self.is_origin(s) && self.in_group(now, open, s);
+        let fits = |s: &Server| Self::takes(s) && self.is_origin(s) && self.in_group(now, open, s);
         let all = (0u32..).zip(&self.servers).filter(|(_, s)| fits(s));
         all.min_by(|a, b| a.1.inflight.total_cmp(&b.1.inflight)).map(|(i, _)| i)
     }
--- a/crates/calicosaddle/tests/decisions.rs
+++ b/crates/calicosaddle/tests/decisions.rs
@@ -623,3 +623,50 @@
     }
     assert!((1..10).contains(&passed), "one by one they are, all over they are not: {passed}");
 }
+
+#[test]
+fn a_withdrawn_server_gets_nothing_whatever_lists_say_until_it_is_given_back() {
+    // Keys that were not asked before: those that were stay where they went meanwhile.
+    let mut keys = 0..;
+    let mut asked = |p: &mut Proxy| -> std::collections::HashSet<ServerId> {
+        keys.by_ref().take(200).map(|key| p.served(key * 7919, true)).collect()
+    };
+    let mut p = Proxy::with(settings(), entries(0..6));
+    let (one, other) = (entry(2).server, entry(9).server);
+    assert!(asked(&mut p).contains(&one));
+    // The whole set each time, also one that no list has named yet.
+    p.event(Event::Withdrawn(vec![one, other]));
+    assert!(!asked(&mut p).contains(&one));
+    for kind in [ListKind::Full, ListKind::Delta, ListKind::Cached] {
+        p.list(kind, entries(0..10));
+        let at = asked(&mut p);
+        assert!(!at.contains(&one) && !at.contains(&other), "{kind:?}");
+    }
+    // Removed and listed anew, it is still withdrawn.
+    p.list(ListKind::Full, entries(3..6));
+    p.list(ListKind::Full, entries(0..10));
+    assert!(!asked(&mut p).contains(&one));
+    p.event(Event::Withdrawn(vec![other]));
+    let at = asked(&mut p);
+    assert!(at.contains(&one) && !at.contains(&other));
+    // What is out there when it is withdrawn ends as it would, and what follows goes elsewhere.
+    let (key, id, actions) = (0..)
+        .map(|key| (key, p.ask(key)))
+        .find_map(|(key, (id, actions))| (sent(&actions) == Some(one)).then_some((key, id, actions)))
+        .expect("a key of it");
+    assert_eq!(finals(&actions), 0);
+    p.event(Event::Withdrawn(vec![one]));
+    let again = p.end(id, 0, one, Status::Reset, None);
+    assert!(sent(&again).is_some_and(|s| s != one), "{key}: {again:?}");
+}
+
+#[test]
+fn other_settings_hold_from_the_next_request_on() {
+    let mut p = Proxy::with(settings(), entries(0..6));
+    let (id, actions) = p.ask(1);
+    assert!(sent(&p.end(id, 0, sent(&actions).expect("sent"), Status::Reset, None)).is_some());
+    p.event(Event::Settings(Box::new(Settings { max_attempts: 1, ..settings() })));
+    let (id, actions) = p.ask(2);
+    let ended = p.end(id, 0, sent(&actions).expect("sent"), Status::Reset, None);
+    assert_eq!((sent(&ended), finals(&ended)), (None, 1));
+}
--- /dev/null
+++ b/crates/control/tests/protocol.rs
@@ -0,0 +1,127 @@
+//! Frames in any pieces, requests of any shape, and the order of changes.
+
+use control::message::{line, Answer, Body, Reconfigured};
+use control::state::{follows, MAX_DRAINED};
+use control::{Code, Decoder, Op, Reply, Request, State, VERSION};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use serde_json::json;
+
+/// Runs with a fixed seed, so that each run gives the same verdict.
+fn runner() -> TestRunner {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    TestRunner::new_with_rng(Config { failure_persistence: None, cases: 512, ..Config::default() }, rng)
+}
+
+#[test]
+fn frames_are_the_same_in_whatever_pieces_they_come() {
+    let lines = prop::collection::vec("[a-z{}\": ]{0,40}", 0..8);
+    let cuts = prop::collection::vec(1usize..9, 1..40);
+    runner()
+        .run(&(lines, cuts), |(lines, cuts)| {
+            let text: String = lines.iter().map(|l| format!("{l}\n")).collect();
+            let mut decoder = Decoder::new(64);
+            let mut found = Vec::new();
+            let (mut rest, mut cuts) = (text.as_bytes(), cuts.into_iter().cycle());
+            while !rest.is_empty() {
+                let n = cuts.next().expect("a cycle").min(rest.len());
+                let mut piece = &rest[..n];
+                rest = &rest[n..];
+                while !piece.is_empty() {
+                    let (used, frame) = decoder.feed(piece).expect("short");
+                    prop_assert!(used > 0);
+                    found.extend(frame.map(|f| String::from_utf8(f).expect("text")));
+                    piece = &piece[used..];
+                }
+            }
+            let wanted: Vec<String> = lines.into_iter().filter(|l| !l.is_empty()).collect();
+            prop_assert_eq!(found, wanted);
+            prop_assert!(!decoder.midway());
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_frame_past_its_bound_is_refused_before_it_is_kept() {
+    let mut decoder = Decoder::new(8);
+    assert_eq!(decoder.feed(b"12345678"), Ok((8, None)));
+    assert!(decoder.feed(b"9").is_err());
+    assert!(!decoder.midway(), "nothing of it is kept");
+    assert!(Decoder::new(8).feed(&[b'x'; 60 << 20]).is_err());
+}
+
+#[test]
+fn requests_are_read_and_what_is_none_is_named() {
+    let read = Request::read(br#"{"v":1,"id":"7","op":"drain-box","box":"s-1"}"#).expect("good");
+    assert_eq!(read, Request::new("7", Op::DrainBox { name: "s-1".into() }));
+    for (bad, code, id, named) in [
+        ("{", Code::BadFrame, "", "not JSON"),
+        ("[]", Code::BadFrame, "", "id is missing"),
+        (r#"{"v":1,"id":7,"op":"status"}"#, Code::BadFrame, "", "id is missing"),
+        (r#"{"v":2,"id":"a","op":"status"}"#, Code::Version, "a", "v is 2"),
+        (r#"{"id":"a","op":"status"}"#, Code::Version, "a", "version 1"),
+        (r#"{"v":1,"id":"a","op":"explode"}"#, Code::BadRequest, "a", "explode"),
+        (r#"{"v":1,"id":"a"}"#, Code::BadRequest, "a", "op"),
+        (r#"{"v":1,"id":"a","op":"drain-box"}"#, Code::BadRequest, "a", "box"),
+        (r#"{"v":1,"id":"a","op":"set-drained","revision":-1,"boxes":[]}"#, Code::BadRequest, "a", "u64"),
+    ] {
+        let (got, error) = Request::read(bad.as_bytes()).expect_err(bad);
+        assert_eq!((got.as_str(), error.code), (id, code), "{bad}");
+        assert!(error.message.contains(named), "{bad}: {error}");
+    }
+    // Nested too deeply: an error, not a stack that overflows.
+    let deep = [b"{\"v\":1,\"id\":".to_vec(), vec![b'['; 100_000]].concat();
+    assert_eq!(Request::read(&deep).expect_err("deep").1.code, Code::BadFrame);
+}
+
+#[test]
+fn replies_come_back_as_they_were_written() {
+    let done = Reconfigured {
+        generation: 4,
+        applied: true,
+        changes: vec!["discovery".into()],
+        needs_restart: vec![],
+    };
+    let reply = Reply { v: VERSION, id: "9".into(), body: Body::Ok(Answer::Reconfigured(done)) };
+    let text = line(&reply);
+    assert_eq!(serde_json::from_slice::<Reply>(&text).expect("good"), reply);
+    let json: serde_json::Value = serde_json::from_slice(&text).expect("JSON");
+    assert_eq!(json["ok"]["changes"], json!(["discovery"]));
+}
+
+#[test]
+fn only_later_changes_follow_and_the_same_one_twice_is_one() {
+    let state = State::default();
+    let drained =
+        |r: u64, names: &[&str]| state.with_drained(r, names.iter().map(|n| n.to_string()).collect());
+    assert_eq!(drained(0, &[]), Ok(None));
+    assert_eq!(drained(0, &["a"]).expect_err("same number").code, Code::Stale);
+    let one = drained(3, &["a", "b", "a"]).expect("good").expect("new");
+    assert_eq!((one.revision, one.boxes.len()), (3, 2));
+    assert_eq!(one.with_drained(2, vec![]).expect_err("older").code, Code::Stale);
+    assert_eq!(one.with_drained(3, vec!["b".into(), "a".into()]), Ok(None));
+    assert_eq!(one.with_box("a", true), Ok(None));
+    let two = one.with_box("a", false).expect("good").expect("new");
+    assert_eq!((two.revision, two.boxes.len()), (4, 1));
+    assert!(follows("generation", 4, 5, false).expect("good"));
+    assert_eq!(one.with_box("", true).expect_err("no name").code, Code::BadRequest);
+    let many = (0..=MAX_DRAINED).map(|i| i.to_string()).collect();
+    assert_eq!(one.with_drained(9, many).expect_err("too many").code, Code::BadRequest);
+}
+
+#[test]
+fn a_state_file_that_is_torn_or_damaged_is_never_taken_for_a_whole_one() {
+    let state = State { revision: 7, boxes: ["s-1".into(), "s-2".into()].into(), drained: true };
+    let text = state.encode();
+    assert_eq!(State::decode(&text), Ok(state));
+    for end in 0..text.len() {
+        assert!(State::decode(&text[..end]).is_err(), "cut at {end}");
+    }
+    for at in 0..text.len() - 1 {
+        let mut bytes = text.clone().into_bytes();
+        bytes[at] ^= 1;
+        let damaged = String::from_utf8(bytes).expect("text");
+        assert!(State::decode(&damaged).is_err(), "bit at {at}");
+    }
+}
--- /dev/null
+++ b/crates/operator/tests/file.rs
@@ -0,0 +1,78 @@
+//! What a file may say, and what is said of one that says something else.
+
+use operator::{Operator, MAX_FILE, MAX_SOCKET_PATH};
+use std::path::Path;
+
+fn faults(text: &str) -> Vec<String> {
+    let faults = Operator::parse(text, "n0").expect_err(text);
+    faults.into_iter().map(|f| format!("{}: {}", f.key, f.reason)).collect()
+}
+
+#[test]
+fn the_example_in_deploy_is_read_and_switches_nothing_on() {
+    let path = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/operator.toml"));
+    assert_eq!(Operator::load(path, "n0").expect("good"), Operator::default());
+    // With every comment sign before an option taken away it is a file that sets every option.
+    let text = std::fs::read_to_string(path).expect("read");
+    let all = text.lines().map(|l| l.strip_prefix("#:").unwrap_or(l)).collect::<Vec<_>>().join("\n");
+    let control = Operator::parse(&all, "n0").expect("good").control.expect("control");
+    assert_eq!(control.socket, Path::new("/run/trestlesill/n0.sock"));
+    assert_eq!(control.state_file.as_deref(), Some(Path::new("/var/lib/trestlesill/n0.state")));
+    assert_eq!((control.max_connections, control.allow_uids.len()), (8, 0));
+}
+
+#[test]
+fn all_faults_are_told_at_once_each_with_its_key() {
+    let text = "version = 1\nspeed = 9\n[control]\nsockets = \"/a\"\nmax_connections = 0\nallow_uids = [1, -1, \"x\"]";
+    assert_eq!(
+        faults(text),
+        [
+            "control.socket: is missing",
+            "control.max_connections: is 0; 1 to 64 is allowed",
+            "control.allow_uids[1]: is -1; 0 to 4294967295 is allowed",
+            "control.allow_uids[2]: is a string; an integer is wanted",
+            "control.sockets: is unknown; known here: socket, state_file, max_connections, allow_uids",
+            "speed: is unknown; known here: version, control",
+        ]
+    );
+}
+
+#[test]
+fn a_version_is_demanded_and_another_one_is_not_guessed_at() {
+    assert_eq!(faults("[control]\nsocket = \"/a\""), ["version: is missing; write `version = 1`"]);
+    assert_eq!(faults("version = 2\nwhatever = 1"), ["version: is 2; this build reads version 1"]);
+    assert_eq!(faults("version = \"1\""), ["version: is a string; an integer is wanted"]);
+}
+
+#[test]
+fn values_of_another_kind_and_bad_paths_are_named() {
+    assert_eq!(faults("version = 1\ncontrol = 4"), ["control: is an integer; a table is wanted"]);
+    assert_eq!(faults("version = 1\n[control]\nsocket = \"\""), ["control.socket: is no path"]);
+    let long = format!("version = 1\n[control]\nsocket = \"/{}\"", "x".repeat(MAX_SOCKET_PATH));
+    assert_eq!(faults(&long), ["control.socket: is 108 bytes long; 107 are the most"]);
+    let same = "version = 1\n[control]\nsocket = \"/a\"\nstate_file = \"/a\"";
+    assert_eq!(faults(same), ["control.state_file: is the socket's path; it needs one of its own"]);
+    let outside =
+        Operator::parse("version = 1\n[control]\nsocket = \"/run/{name}\"", "../x").expect_err("bad");
+    assert!(outside[0].reason.contains("can't stand in a path"), "{outside:?}");
+}
+
+#[test]
+fn what_is_not_toml_is_told_with_its_line() {
+    assert!(
+        faults("version = 1\n\n[control\n")[0].starts_with(": line 3: "),
+        "{:?}",
+        faults("version = 1\n\n[control\n")
+    );
+}
+
+#[test]
+fn a_file_that_is_not_there_or_too_long_is_named() {
+    let error = Operator::load(Path::new("/nowhere/operator.toml"), "n0").expect_err("missing").to_string();
+    assert!(error.starts_with("/nowhere/operator.toml: can't be read: "), "{error}");
+    let path = std::env::temp_dir().join(format!("operator-{}.toml", std::process::id()));
+    std::fs::write(&path, vec![b'#'; MAX_FILE as usize + 1]).expect("written");
+    let error = Operator::load(&path, "n0").expect_err("long").to_string();
+    std::fs::remove_file(&path).expect("removed");
+    assert!(error.contains("1048576 are the most"), "{error}");
+}
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -241,6 +241,9 @@
 pub struct Clients {
     listener: Option<TcpListener>,
     all: Slab<Client>,
+    address: SocketAddr,
+    /// Commands refused here, before the module saw them.
+    turned_away: u64,
     next_id: RequestId,
     limit: usize,
     room: Room,
@@ -258,19 +261,14 @@
 }
 
 impl Clients {
-    /// Listens at `address` for at most `limit` connections; `memory` bytes each for long values of commands
-    /// and for answers not yet read.
-    pub fn listen(address: SocketAddr, limit: usize, memory: usize) -> io::Result<Self> {
-        let socket =
-            socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
-        // Danger: after a crash old connections keep the address for a minute.
-        socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&address.into())?;
-        socket.listen(1024)?;
-        Ok(Clients {
-            listener: Some(TcpListener::from_std(socket.into())),
+    /// None yet; at most `limit` connections, `memory` bytes each for long values of commands and for answers
+    /// not yet read. They will come to `address` once it is listened at.
+    pub fn new(address: SocketAddr, limit: usize, memory: usize) -> Self {
+        Clients {
+            listener: None,
             all: Slab::new(),
+            address,
+            turned_away: 0,
             next_id: 1,
             limit,
             room: Room::new(memory),
@@ -281,15 +279,32 @@
             dirty: Vec::new(),
             again: Vec::new(),
             news: VecDeque::new(),
-        })
+        }
     }
 
-    /// Registers the listener.
-    pub fn register(&mut self, registry: &Registry, token: Token) -> io::Result<()> {
-        match &mut self.listener {
-            Some(listener) => registry.register(listener, token, Interest::READABLE),
-            None => Ok(()),
-        }
+    /// Listens, for the first time or again after [`Clients::stop`].
+    pub fn listen(&mut self, registry: &Registry, token: Token) -> io::Result<()> {
+        let domain = socket2::Domain::for_address(self.address);
+        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+        // Danger: after a crash old connections keep the address for a minute.
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&self.address.into())?;
+        socket.listen(1024)?;
+        let mut listener = TcpListener::from_std(socket.into());
+        registry.register(&mut listener, token, Interest::READABLE)?;
+        (self.listener, self.stopping) = (Some(listener), false);
+        Ok(())
+    }
+
+    /// How many connections there are.
+    pub fn count(&self) -> usize {
+        self.all.len()
+    }
+
+    /// How many commands were refused before they became requests.
+    pub fn turned_away(&self) -> u64 {
+        self.turned_away
     }
 
     /// The next thing that a client did.
@@ -492,6 +507,7 @@
         }
         // Untouched, it may always be refused.
         if !command.is_whole() || client.slots.len() >= MAX_PIPELINE {
+            self.turned_away += 1;
             self.reply_next(key, BUSY);
             return;
         }
@@ -675,3 +691,16 @@
         self.all.is_empty()
     }
 }
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    /// A read as a client sends it.
+    pub fn query(config: &Config) -> Rc<Query> {
+        let mut parser = CommandParser::new(Room::new(0));
+        let bytes = b"*4\r\n$9\r\nCACHE.GET\r\n$1\r\n1\r\n$1\r\na\r\n$12\r\nc=read,d=500\r\n";
+        let (_, command) = parser.feed(bytes).expect("a command");
+        Rc::new(Query::read(command.expect("whole"), config).expect("a read"))
+    }
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -38,6 +38,10 @@
 /// The configuration of a proxy.
 #[derive(Debug)]
 pub struct Config {
+    /// This proxy's name, the same after a restart.
+    pub name: String,
+    /// Number of this configuration, as its operator counts them.
+    pub generation: u64,
     /// Where clients connect.
     pub listen: SocketAddr,
     /// Where discovery is.
@@ -78,7 +82,8 @@
         Config::parse(&text, |name| std::env::var(name).ok())
     }
 
-    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+    /// Reads the text of such a file.
+    pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
         let json: Value = serde_json::from_str(text).map_err(ConfigError::Json)?;
         let address = |key: &str, name: &'static str| {
             let told = json[key].as_str().map(str::to_owned).or_else(|| variable(name));
@@ -109,7 +114,10 @@
         };
         let limit = |key: &str, default: u64| json["limits"][key].as_u64().unwrap_or(default);
         let cap = |key: &str| told["caps"][key].as_u64();
+        let name = json["name"].as_str().map(str::to_owned).or_else(|| variable("NODE_NAME"));
         Ok(Config {
+            name: name.unwrap_or_default(),
+            generation: json["generation"].as_u64().unwrap_or(0),
             listen: address("listen", "NODE_LISTEN")?,
             discovery: address("discovery", "NODE_DISCOVERY")?,
             seed: seed.ok_or_else(|| ConfigError::Bad("seed is missing or not hex".into()))?,
@@ -129,6 +137,55 @@
     }
 }
 
+impl Config {
+    /// What another configuration changes: the keys that can hold at once, and those that need a restart. The
+    /// seed and the known list are for the start alone and are no change.
+    pub fn changes(&self, new: &Config) -> (Vec<String>, Vec<String>) {
+        let (s, n) = (&self.settings, &new.settings);
+        let effects = |c: &Config| -> Vec<_> {
+            let classes = c.settings.classes.iter();
+            classes.map(|k| (k.effect, k.group, k.dedup_window, k.stream)).collect()
+        };
+        let list = |all: &[(&str, bool)]| {
+            let named = all.iter().filter(|(_, changed)| *changed);
+            named.map(|(key, _)| (*key).to_owned()).collect::<Vec<_>>()
+        };
+        let restart = list(&[
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("limits.memory_mb", self.memory_mb != new.memory_mb),
+            ("limits.sockets", self.sockets != new.sockets),
+            // Requests are under way by the number of their class and the rules that it has.
+            ("settings.categories", self.classes != new.classes || effects(self) != effects(new)),
+            ("settings.customers", self.tenants != new.tenants),
+            ("settings.localities", self.names.zones != new.names.zones),
+            ("settings.machine_types", self.names.kinds != new.names.kinds),
+            ("settings.report.columns", self.columns != new.columns),
+            ("settings.zone", s.zone != n.zone),
+            ("settings.self_index", s.me != n.me),
+            ("settings.discovery", s.must_ask != n.must_ask),
+            ("settings.family_info", (s.aside, s.origin_kind) != (n.aside, n.origin_kind)),
+        ]);
+        let now = list(&[
+            ("discovery", self.discovery != new.discovery),
+            ("settings.caps.max_open", self.max_open != new.max_open),
+            ("settings.caps.streams_per_conn", self.streams != new.streams),
+            ("settings.caps.conn_idle_ns", self.idle != new.idle),
+            ("settings", restart.is_empty() && s != n),
+        ]);
+        (now, restart)
+    }
+
+    /// Takes over what holds at once of another configuration.
+    pub fn take(&mut self, new: Config) {
+        self.generation = new.generation;
+        (self.discovery, self.settings) = (new.discovery, new.settings);
+        (self.max_open, self.streams, self.idle) = (new.max_open, new.streams, new.idle);
+        // Danger: requests that were taken under the longer time still have it, also at the end of the process.
+        self.longest = self.longest.max(new.longest);
+    }
+}
+
 fn strings(list: &Value) -> Vec<String> {
     let list = list.as_array().map(Vec::as_slice).unwrap_or_default();
     list.iter().map(|v| v.as_str().unwrap_or_default().to_owned()).collect()
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -35,6 +35,8 @@
 /// A cache node in a list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Host {
+    /// Its name, the same at every proxy.
+    pub name: Box<str>,
     /// What the module is told of it.
     pub entry: Entry,
     /// Where it is; a removed one may have no address.
@@ -113,7 +115,7 @@
         weight: json["share"].as_f64().unwrap_or(1.0),
         started: number("born_ms").saturating_mul(MS),
     };
-    Ok(Host { entry, dial })
+    Ok(Host { name: host.into(), entry, dial })
 }
 
 /// What comes of the calls.
@@ -168,6 +170,8 @@
     address: SocketAddr,
     names: Names,
     version: Option<u64>,
+    /// When discovery answered last.
+    heard: Option<Nanos>,
     tokens: [Token; 2],
     watch: Option<Call>,
     fetch: Option<Call>,
@@ -177,7 +181,7 @@
     /// Nothing asked yet; `version` is that of the list already known, `tokens` are for the watch and for a
     /// call for the whole list.
     pub fn new(address: SocketAddr, names: Names, version: Option<u64>, tokens: [Token; 2]) -> Self {
-        Discovery { address, names, version, tokens, watch: None, fetch: None }
+        Discovery { address, names, version, heard: None, tokens, watch: None, fetch: None }
     }
 
     /// Discovery is at another address from now on. Calls that are out end, and the list is known in no
@@ -186,6 +190,11 @@
         (self.address, self.version, self.watch, self.fetch) = (address, None, None, None);
     }
 
+    /// The version of the list, and when discovery last said what it is.
+    pub fn known(&self) -> (Option<u64>, Option<Nanos>) {
+        (self.version, self.heard)
+    }
+
     /// Begins a watch, or begins it anew.
     pub fn subscribe(&mut self, registry: &Registry, now: Nanos) -> Result<(), ListError> {
         self.watch = None;
@@ -245,7 +254,7 @@
             Ok(news) => news,
             Err(e) => return Some(Answer::Failed(e)),
         };
-        self.version = Some(news.version);
+        (self.version, self.heard) = (Some(news.version), Some(now));
         if purpose != Purpose::Fetch {
             // Danger: a call more than 200 ms after the last answer begins a new watch.
             match self.call(registry, Purpose::Follow, now) {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,14 +6,18 @@
 
 mod client;
 pub mod config;
+mod control;
 mod discovery;
+mod operate;
 mod timers;
 mod upstream;
 
+use ::control::message::Counters;
 use calicosaddle::api::*;
 use calicosaddle::Brain;
 use client::{Clients, Place, Query};
 use config::Config;
+use control::{Endpoint, Kept};
 use discovery::{Answer, Discovery};
 use mio::net::UnixStream;
 use mio::{Events, Interest, Poll, Token};
@@ -53,6 +57,7 @@
 const SIGNAL: Token = Token(4);
 const DISCOVERY: [Token; 2] = [Token(8), Token(12)];
 const HANGUP: Token = Token(16);
+const CONTROL: Token = Token(20);
 
 /// A socket that becomes readable when this signal arrives.
 fn signal_pipe(signal: i32) -> io::Result<UnixStream> {
@@ -75,6 +80,18 @@
     Token(key << 2 | 2)
 }
 
+fn control_token(key: usize) -> Token {
+    Token(key << 2 | 3)
+}
+
+/// The final answer of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Final {
+    Served,
+    Refused,
+    Failed,
+}
+
 /// The module's clock: Unix time at the start and monotonic time since, so that a cache node's start, told as
 /// Unix time, lies on it.
 #[derive(Clone, Copy, Debug)]
@@ -138,13 +155,30 @@
     actions: Vec<Action>,
     buffer: Vec<u8>,
     stopping: Option<Nanos>,
+    /// A controller drained this instance then; nothing while it serves.
+    draining: Option<Nanos>,
     closed: bool,
+    control: Option<Endpoint>,
+    kept: Kept,
+    counters: Counters,
+    /// Counts the changes that a watching controller is told of.
+    changes: u64,
+    /// It has known a box that takes work.
+    started: bool,
+    /// It was stopped when the connections were last looked over.
+    stopped: bool,
     discovery_failed: bool,
 }
 
 impl Proxy {
     /// Listens, and tells the module what the configuration knows.
-    pub fn start(mut config: Config) -> io::Result<Self> {
+    ///
+    /// # Errors
+    /// The address can't be listened at, or something that the operator's file names can't be had.
+    pub fn start(
+        mut config: Config,
+        operator: &operator::Operator,
+    ) -> Result<Self, Box<dyn std::error::Error>> {
         let clock = Clock::new();
         let now = clock.now();
         let poll = Poll::new()?;
@@ -153,10 +187,16 @@
         registry.register(&mut signal, SIGNAL, Interest::READABLE)?;
         registry.register(&mut hangup, HANGUP, Interest::READABLE)?;
         // Half of the descriptors for clients, half for cache nodes: a request needs one of each.
-        let half = (config.sockets.saturating_sub(RESERVED) / 2).max(1);
+        let reserved = RESERVED + operator.control.as_ref().map_or(0, |c| c.max_connections + 1);
+        let half = (config.sockets.saturating_sub(reserved) / 2).max(1);
         let memory = ((config.memory_mb << 20) / MEMORY_PART) as usize;
-        let mut clients = Clients::listen(config.listen, half, memory)?;
-        clients.register(registry, LISTENER)?;
+        let kept = Kept::load(operator.control.as_ref().and_then(|c| c.state_file.clone()))?;
+        let mut clients = Clients::new(config.listen, half, memory);
+        let drained = kept.state.drained;
+        if !drained {
+            clients.listen(registry, LISTENER)?;
+        }
+        let control = operator.control.as_ref().map(|c| Endpoint::open(c, registry, CONTROL)).transpose()?;
         let known = config.known.take();
         let version = known.as_ref().map(|k| k.version);
         let mut proxy = Proxy {
@@ -176,11 +216,19 @@
             actions: Vec::new(),
             buffer: vec![0; BUFFER],
             stopping: None,
-            closed: false,
+            draining: drained.then_some(now),
+            closed: drained,
+            control,
+            kept,
+            counters: Counters::default(),
+            changes: 0,
+            started: false,
+            stopped: false,
             discovery_failed: false,
             poll,
             config,
         };
+        proxy.withdraw();
         let entries = known.map(|k| proxy.take_list(k)).unwrap_or_default();
         proxy.events.push_back(Event::List { kind: ListKind::Cached, entries });
         proxy.decide();
@@ -193,8 +241,10 @@
         let mut events = Events::with_capacity(1024);
         while !self.done() {
             let more = self.clients.has_more() || self.upstreams.has_more();
-            let wait = self.timers.next().map(|at| Duration::from_nanos(at.saturating_sub(self.clock.now())));
             let before = self.clock.now();
+            let next =
+                self.timers.next().into_iter().chain(self.control.as_ref().and_then(Endpoint::work)).min();
+            let wait = next.map(|at| Duration::from_nanos(at.saturating_sub(before)));
             match self.poll.poll(&mut events, if more { Some(Duration::ZERO) } else { wait }) {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 polled => polled?,
@@ -227,6 +277,7 @@
                 LISTENER => self.clients.knocked(),
                 SIGNAL => self.signalled(),
                 HANGUP => self.reload(),
+                CONTROL => self.control.iter_mut().for_each(Endpoint::knocked),
                 token => {
                     let answer = self.discovery.ready(self.poll.registry(), token, self.now);
                     self.discovered(answer);
@@ -254,6 +305,10 @@
         }
         self.clients.flush_all(self.now);
         self.settle();
+        for event in events.iter().filter(|e| e.token().0 & 3 == 3) {
+            self.control.iter_mut().for_each(|c| c.woke(event.token().0 >> 2, self.now));
+        }
+        self.controlled();
     }
 
     /// Works off all that sockets told and that follows from it.
@@ -290,12 +345,12 @@
         match action {
             Action::Send { id, server, timeout } => self.send(id, server, timeout),
             Action::Cancel { id, attempt } => self.end_attempt(id, attempt, Status::Cancelled),
-            Action::Refuse { id, retry_after: 0 } => self.answer(id, client::BUSY),
+            Action::Refuse { id, retry_after: 0 } => self.answer(id, client::BUSY, Final::Refused),
             Action::Refuse { id, retry_after } => {
                 let answer = format!("-BUSY {}\r\n", retry_after.div_ceil(MS));
-                self.answer(id, answer.as_bytes());
+                self.answer(id, answer.as_bytes(), Final::Refused);
             }
-            Action::Fail { id } => self.answer(id, client::FAILED),
+            Action::Fail { id } => self.answer(id, client::FAILED, Final::Failed),
             Action::Timer { token, delay } => self.timers.set(self.now + delay, Due::Module(token)),
             // This module asks for no probes; the design has no use for them.
             Action::Probe(server) => self.events.push_back(Event::Probed {
@@ -322,6 +377,7 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts;
         open.attempts += 1;
+        self.counters.attempts += 1;
         open.out.push(Attempt { number: attempt, server, sent: self.now, connection: None });
         let over = open.answered || open.left || open.until <= self.now;
         if over || attempt >= self.config.settings.max_attempts.max(1) {
@@ -360,6 +416,7 @@
             client::News::Gone(id) => {
                 let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
                 open.answered = true;
+                self.counters.abandoned += 1;
                 let out: Vec<u32> = open.out.iter().map(|a| a.number).collect();
                 self.events.push_back(Event::Expired(id));
                 out.into_iter().for_each(|n| self.end_attempt(id, n, Status::Cancelled));
@@ -369,12 +426,15 @@
     }
 
     fn arrived(&mut self, id: RequestId, place: Place, query: Rc<Query>) {
+        self.counters.accepted += 1;
         if self.open.len() >= self.config.max_open.min(MAX_OPEN) {
+            self.counters.refused += 1;
             self.clients.answer(place, client::BUSY);
             return;
         }
         // Danger: cache nodes take a second request under an id that is open for another copy of the first.
         if !self.ids.insert(query.id().into()) {
+            self.counters.failed += 1;
             self.clients.answer(place, client::ID_IN_USE);
             return;
         }
@@ -397,9 +457,14 @@
     }
 
     /// Gives the one final answer.
-    fn answer(&mut self, id: RequestId, answer: &[u8]) {
+    fn answer(&mut self, id: RequestId, answer: &[u8], how: Final) {
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
         open.answered = true;
+        *match how {
+            Final::Served => &mut self.counters.served,
+            Final::Refused => &mut self.counters.refused,
+            Final::Failed => &mut self.counters.failed,
+        } += 1;
         self.clients.answer(open.place, answer);
         self.retire(id);
     }
@@ -416,7 +481,7 @@
     /// Answers a request that the module is no longer concerned with, once nothing is under way for it.
     fn finish_left(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(|o| o.left && o.out.is_empty()) {
-            self.answer(id, client::FAILED);
+            self.answer(id, client::FAILED, Final::Failed);
         }
     }
 
@@ -428,7 +493,7 @@
         // The module answers when its last attempt has timed out; this holds should it ever not.
         if self.open.get(&id).is_some_and(|o| !o.answered) {
             self.events.push_back(Event::Expired(id));
-            self.answer(id, client::FAILED);
+            self.answer(id, client::FAILED, Final::Failed);
         }
     }
 
@@ -454,7 +519,7 @@
         match news {
             upstream::News::Ended(id, attempt, status, reply) => self.ended(id, attempt, status, &reply),
             upstream::News::Served(id, attempt, reply, bytes) => {
-                self.answer(id, &bytes);
+                self.answer(id, &bytes, Final::Served);
                 self.ended(id, attempt, Status::Ok, &reply);
             }
         }
@@ -505,7 +570,9 @@
     }
 
     fn take_list(&mut self, news: discovery::News) -> Vec<Entry> {
-        self.upstreams.list(&news);
+        self.upstreams.list(&news, self.now);
+        self.counters.lists += 1;
+        self.changes += 1;
         news.hosts.into_iter().map(|h| h.entry).collect()
     }
 
@@ -523,13 +590,17 @@
             Ok(new) => {
                 eprintln!("reload: discovery is now at {}, was at {}", new.discovery, self.config.discovery);
                 self.config.discovery = new.discovery;
-                self.discovery.moved(new.discovery);
-                self.discovery_failed = false;
-                self.events.push_back(Event::ListMoved);
+                self.discovery_moved();
             }
         }
     }
 
+    fn discovery_moved(&mut self) {
+        self.discovery.moved(self.config.discovery);
+        self.discovery_failed = false;
+        self.events.push_back(Event::ListMoved);
+    }
+
     // ---- time ----
 
     fn run_timers(&mut self) {
@@ -547,6 +618,7 @@
                     let answer = self.discovery.sweep(self.now);
                     self.discovered(answer);
                     self.stop();
+                    self.sweep_control();
                 }
             }
             self.settle();
@@ -558,11 +630,13 @@
     fn signalled(&mut self) {
         drain(&self.signal);
         self.stopping.get_or_insert(self.now);
+        self.changes += 1;
     }
 
-    /// Closes the proxy to clients once the window after SIGTERM is over.
+    /// Closes the proxy to clients once the window after SIGTERM or a controller's drain is over.
     fn stop(&mut self) {
-        if self.closed || self.stopping.is_none_or(|at| self.now < at + WINDOW) {
+        let since = self.draining.into_iter().chain(self.stopping).min();
+        if self.closed || since.is_none_or(|at| self.now < at + WINDOW) {
             return;
         }
         self.closed = true;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,14 +1,49 @@
 //! trestlesill: one real proxy. It reads its configuration, listens, and runs until SIGTERM.
 
+use operator::Operator;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use trestlesill::config::Config;
 use trestlesill::Proxy;
 
-fn main() -> ExitCode {
-    let run = || -> Result<(), Box<dyn std::error::Error>> {
-        Proxy::start(Config::from_env()?)?.run()?;
-        Ok(())
+const USAGE: &str = "usage: trestlesill [--operator FILE] [--check]; NODE_CONFIG names the configuration";
+
+/// What the command line asks for.
+struct Options {
+    operator: Option<PathBuf>,
+    /// Only read and check the files.
+    check: bool,
+}
+
+fn options(mut args: impl Iterator<Item = std::ffi::OsString>) -> Result<Options, String> {
+    let mut options = Options { operator: None, check: false };
+    while let Some(arg) = args.next() {
+        if arg == "--operator" && options.operator.is_none() {
+            let file = args.next().ok_or_else(|| format!("--operator names no file; {USAGE}"))?;
+            options.operator = Some(file.into());
+        } else if arg == "--check" {
+            options.check = true;
+        } else {
+            return Err(format!("{arg:?} is not understood; {USAGE}"));
+        }
+    }
+    Ok(options)
+}
+
+fn run() -> Result<(), Box<dyn std::error::Error>> {
+    let options = options(std::env::args_os().skip(1))?;
+    let config = Config::from_env()?;
+    let operator = match &options.operator {
+        Some(file) => Operator::load(file, &config.name)?,
+        None => Operator::default(),
     };
+    if !options.check {
+        Proxy::start(config, &operator)?.run()?;
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- /dev/null
+++ b/crates/proxy/src/operate.rs
@@ -0,0 +1,204 @@
+//! What controllers ask of a proxy, carried out: its state told, boxes and the proxy itself drained, another
+//! configuration taken over. All that bears on where requests go reaches the module as events.
+
+use crate::config::Config;
+use crate::control::{interval, needs_life};
+use crate::{Proxy, LISTENER, MS};
+use ::control::message::{Answer, Body, Code, Error, List, Page, Phase, Reconfigured, Status, MAX_PAGE};
+use ::control::state::follows;
+use ::control::{Op, Request, State};
+use calicosaddle::api::{server_id, Event, Nanos, ServerId};
+
+impl Proxy {
+    /// Does the work that controllers have, when its turn has come.
+    pub(crate) fn controlled(&mut self) {
+        let Some(mut endpoint) = self.control.take() else { return };
+        let began = self.clock.now();
+        if endpoint.work().is_some_and(|at| at <= began) {
+            self.now = began;
+            let registry = self.poll.registry();
+            let requests = endpoint.requests(registry, crate::control_token, &mut self.buffer, began);
+            for (key, request) in requests {
+                let (id, done) = match request {
+                    Err((id, error)) => (id, Err(error)),
+                    Ok(Request { id, op: Op::Watch { every_ms }, .. }) => {
+                        let watched = interval(every_ms).map(|every| {
+                            endpoint.watch(key, id.clone(), every, self.changes, began);
+                            Answer::Status(Box::new(self.status()))
+                        });
+                        (id, watched)
+                    }
+                    Ok(Request { id, op, .. }) => (id, self.operate(op)),
+                };
+                self.settle();
+                match done {
+                    Ok(answer) => endpoint.reply(key, id, Body::Ok(answer), began),
+                    Err(error) => endpoint.error(key, id, error, began),
+                }
+            }
+            endpoint.tell(self.changes, || self.status(), began);
+            endpoint.worked(began, self.clock.now());
+        }
+        self.control = Some(endpoint);
+    }
+
+    /// Tells watchers what changed, and lets go of controllers that take too long.
+    pub(crate) fn sweep_control(&mut self) {
+        let usable = self.upstreams.counts().1 > 0;
+        if usable && !self.started {
+            self.started = true;
+            self.changes += 1;
+        }
+        let Some(mut endpoint) = self.control.take() else { return };
+        // One that is drained stops by itself when its last client leaves.
+        let stopped = self.phase() == Phase::Stopped;
+        if std::mem::replace(&mut self.stopped, stopped) != stopped {
+            self.changes += 1;
+        }
+        endpoint.sweep(self.now);
+        endpoint.tell(self.changes, || self.status(), self.now);
+        self.control = Some(endpoint);
+    }
+
+    fn operate(&mut self, op: Op) -> Result<Answer, Error> {
+        if self.stopping.is_some() && needs_life(&op) {
+            return Err(Error::new(Code::Stopping, "the instance has been told to end; nothing changed"));
+        }
+        let state = &self.kept.state;
+        match op {
+            Op::Status | Op::Watch { .. } => {}
+            Op::Boxes { after, limit } => {
+                let limit = limit.unwrap_or(MAX_PAGE);
+                if !(1..=MAX_PAGE).contains(&limit) {
+                    let message = format!("limit is {limit}; 1 to {MAX_PAGE} is allowed");
+                    return Err(Error::new(Code::BadRequest, message));
+                }
+                let zones = &self.config.names.zones;
+                let (boxes, more) = self.upstreams.page(&after, limit, false, zones, self.now);
+                return Ok(Answer::Boxes(Page { boxes, more }));
+            }
+            Op::Drain => self.drain()?,
+            Op::Undrain => self.undrain()?,
+            Op::DrainBox { name } => self.keep(state.with_box(&name, true)?)?,
+            Op::UndrainBox { name } => self.keep(state.with_box(&name, false)?)?,
+            Op::SetDrained { revision, boxes } => self.keep(state.with_drained(revision, boxes)?)?,
+            Op::Reconfigure { generation, config, dry_run } => {
+                return self.reconfigure(generation, &config.to_string(), dry_run).map(Answer::Reconfigured);
+            }
+        }
+        Ok(Answer::Status(Box::new(self.status())))
+    }
+
+    // ---- drains ----
+
+    fn keep(&mut self, change: Option<State>) -> Result<(), Error> {
+        if let Some(state) = change {
+            self.kept.store(state)?;
+            self.changes += 1;
+            self.withdraw();
+        }
+        Ok(())
+    }
+
+    /// Puts in force what operators said of boxes: for the module's choices, and for what waits to be written.
+    pub(crate) fn withdraw(&mut self) {
+        let servers: Vec<ServerId> = self.kept.state.boxes.iter().map(|name| server_id(name)).collect();
+        self.upstreams.withdraw(&servers, self.now);
+        self.events.push_back(Event::Withdrawn(servers));
+    }
+
+    fn drain(&mut self) -> Result<(), Error> {
+        if self.draining.is_none() {
+            self.kept.store(State { drained: true, ..self.kept.state.clone() })?;
+            self.draining = Some(self.now);
+            self.changes += 1;
+        }
+        Ok(())
+    }
+
+    fn undrain(&mut self) -> Result<(), Error> {
+        if self.draining.is_some() {
+            if self.closed {
+                // Danger: were this noted before, a restart would serve where the tool said that it can't.
+                self.clients.listen(self.poll.registry(), LISTENER).map_err(|e| {
+                    let message = format!("{} can't be listened at: {e}; still drained", self.config.listen);
+                    Error::new(Code::Storage, message)
+                })?;
+            }
+            (self.draining, self.closed) = (None, false);
+            self.changes += 1;
+            self.kept.store(State { drained: false, ..self.kept.state.clone() })?;
+        }
+        Ok(())
+    }
+
+    // ---- configuration ----
+
+    fn reconfigure(&mut self, generation: u64, text: &str, dry_run: bool) -> Result<Reconfigured, Error> {
+        let mut new =
+            Config::parse(text, |_| None).map_err(|e| Error::new(Code::BadConfig, e.to_string()))?;
+        let (changes, needs_restart) = self.config.changes(&new);
+        let same = changes.is_empty() && needs_restart.is_empty();
+        let next = follows("generation", self.config.generation, generation, same)?;
+        let applied = needs_restart.is_empty();
+        if applied && next && !dry_run {
+            let (moved, settings) =
+                (new.discovery != self.config.discovery, new.settings != self.config.settings);
+            new.generation = generation;
+            self.config.take(new);
+            self.upstreams.configure(&self.config);
+            if settings {
+                self.events.push_back(Event::Settings(Box::new(self.config.settings.clone())));
+            }
+            if moved {
+                self.discovery_moved();
+            }
+            self.changes += 1;
+        }
+        let changes = changes.into_iter().chain(needs_restart.iter().cloned()).collect();
+        Ok(Reconfigured { generation: self.config.generation, applied, changes, needs_restart })
+    }
+
+    // ---- state ----
+
+    pub(crate) fn phase(&self) -> Phase {
+        let leaving = self.draining.is_some() || self.stopping.is_some();
+        match (leaving, self.closed && self.clients.is_empty()) {
+            (true, true) => Phase::Stopped,
+            (true, false) => Phase::Draining,
+            (false, _) if self.started || self.upstreams.counts().1 > 0 => Phase::Ready,
+            (false, _) => Phase::Starting,
+        }
+    }
+
+    pub(crate) fn status(&self) -> Status {
+        let (version, heard) = self.discovery.known();
+        let since = |at: Nanos| self.now.saturating_sub(at) / MS;
+        let (boxes, usable, connections, attempts) = self.upstreams.counts();
+        let mut counters = self.counters;
+        counters.accepted += self.clients.turned_away();
+        counters.refused += self.clients.turned_away();
+        Status {
+            name: self.config.name.clone(),
+            pid: std::process::id(),
+            started_ms: self.clock.unix / MS,
+            phase: self.phase(),
+            generation: self.config.generation,
+            revision: self.kept.state.revision,
+            drained: self.kept.state.boxes.iter().cloned().collect(),
+            list: List {
+                version,
+                age_ms: since(heard.unwrap_or(self.clock.unix)),
+                failing: self.discovery_failed,
+                boxes,
+                usable,
+            },
+            requests: self.open.values().filter(|o| !o.answered).count(),
+            attempts,
+            clients: self.clients.count(),
+            connections,
+            counters,
+            leaving: self.upstreams.page("", MAX_PAGE, true, &self.config.names.zones, self.now).0,
+        }
+    }
+}
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -7,6 +7,7 @@
 use crate::config::Config;
 use crate::discovery::News as List;
 use calicosaddle::api::{Nanos, RequestId, ServerId, State, Status};
+use control::message::BoxStatus;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use resp::{Kind, Reply, ReplyParser};
@@ -63,12 +64,37 @@
 
 #[derive(Debug)]
 struct Node {
+    name: Box<str>,
+    zone: u32,
+    /// An operator drained it.
+    withdrawn: bool,
+    /// Since when it is known here that it is to get nothing new.
+    leaving: Option<Nanos>,
+    /// Attempts begun, and those of them begun since then.
+    sent: u64,
+    sent_leaving: u64,
     address: Option<SocketAddr>,
     state: State,
     started: Nanos,
     connections: Vec<usize>,
 }
 
+impl Node {
+    /// Takes work: discovery and the operators both say so.
+    fn takes(&self) -> bool {
+        self.state == State::Ready && !self.withdrawn
+    }
+
+    /// Notes whether it takes work from now on.
+    fn mark(&mut self, now: Nanos) {
+        if self.takes() {
+            (self.leaving, self.sent_leaving) = (None, 0);
+        } else {
+            self.leaving.get_or_insert(now);
+        }
+    }
+}
+
 /// What becomes of connections that are used again after being idle, by how long they were: the classes double
 /// from 16 ms on.
 ///
@@ -162,6 +188,7 @@
 #[derive(Debug)]
 pub struct Upstreams {
     nodes: FxHashMap<ServerId, Node>,
+    withdrawn: FxHashSet<ServerId>,
     all: Slab<Connection>,
     serial: u64,
     per_node: usize,
@@ -179,21 +206,90 @@
 impl Upstreams {
     /// No nodes yet; at most `limit` connections in all.
     pub fn new(config: &Config, limit: usize) -> Self {
-        let stated = (config.idle as f64 * IDLE_PART) as Nanos;
-        let share = NODE_CONNECTIONS / config.settings.proxies.max(1) as usize;
-        Upstreams {
+        let mut upstreams = Upstreams {
             nodes: FxHashMap::default(),
+            withdrawn: FxHashSet::default(),
             all: Slab::new(),
             serial: 0,
-            per_node: share.clamp(1, MOST_CONNECTIONS),
+            per_node: 1,
             limit,
-            streams: config.streams,
-            stated,
-            fresh: stated,
+            streams: 1,
+            stated: 0,
+            fresh: 0,
             rests: Rests::default(),
             swept: 0,
             news: VecDeque::new(),
             again: Vec::new(),
+        };
+        upstreams.configure(config);
+        upstreams
+    }
+
+    /// Takes over what a configuration says of connections.
+    pub fn configure(&mut self, config: &Config) {
+        let share = NODE_CONNECTIONS / config.settings.proxies.max(1) as usize;
+        self.per_node = share.clamp(1, MOST_CONNECTIONS);
+        self.streams = config.streams;
+        self.stated = (config.idle as f64 * IDLE_PART) as Nanos;
+        self.fresh = self.rests.fresh(self.stated);
+    }
+
+    /// These nodes, and no others, are drained by operators.
+    pub fn withdraw(&mut self, servers: &[ServerId], now: Nanos) {
+        self.withdrawn = servers.iter().copied().collect();
+        for (server, node) in &mut self.nodes {
+            node.withdrawn = self.withdrawn.contains(server);
+            node.mark(now);
+        }
+    }
+
+    /// How many nodes are listed, how many take work, and how many connections and attempts there are.
+    pub fn counts(&self) -> (usize, usize, usize, usize) {
+        let listed = self.nodes.values().filter(|n| n.state != State::Gone).count();
+        let usable = self.nodes.values().filter(|n| n.takes()).count();
+        let attempts = self.all.iter().map(|(_, c)| c.depth()).sum();
+        (listed, usable, self.all.len(), attempts)
+    }
+
+    /// The first nodes by name after this one, or only those that are leaving; and whether there are more.
+    pub fn page(
+        &self,
+        after: &str,
+        limit: usize,
+        leaving: bool,
+        zones: &[String],
+        now: Nanos,
+    ) -> (Vec<BoxStatus>, bool) {
+        let fits = |n: &&Node| &*n.name > after && (!leaving || n.leaving.is_some());
+        let mut found: Vec<&Node> = self.nodes.values().filter(fits).collect();
+        let more = found.len() > limit;
+        if more {
+            found.select_nth_unstable_by(limit, |a, b| a.name.cmp(&b.name));
+            found.truncate(limit);
+        }
+        found.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        (found.into_iter().map(|n| self.describe(n, zones, now)).collect(), more)
+    }
+
+    fn describe(&self, node: &Node, zones: &[String], now: Nanos) -> BoxStatus {
+        let depth = |key: &usize| self.all.get(*key).map_or(0, Connection::depth);
+        BoxStatus {
+            name: node.name.to_string(),
+            address: node.address.map(|a| a.to_string()),
+            zone: zones.get(node.zone as usize).cloned(),
+            listed: match node.state {
+                State::Ready => "up",
+                State::Draining => "draining",
+                State::Gone => "removed",
+            }
+            .into(),
+            drained: node.withdrawn,
+            usable: node.takes(),
+            connections: node.connections.len(),
+            attempts: node.connections.iter().map(depth).sum(),
+            sent: node.sent,
+            leaving_ms: node.leaving.map(|at| now.saturating_sub(at) / MS),
+            sent_leaving: node.sent_leaving,
         }
     }
 
@@ -213,18 +309,27 @@
     }
 
     /// Takes what discovery told.
-    pub fn list(&mut self, list: &List) {
+    pub fn list(&mut self, list: &List, now: Nanos) {
         if list.whole {
             let named: FxHashSet<ServerId> = list.hosts.iter().map(|h| h.entry.server).collect();
             let left: Vec<ServerId> = self.nodes.keys().copied().filter(|id| !named.contains(id)).collect();
             for id in left {
-                self.nodes.entry(id).and_modify(|n| n.state = State::Gone);
+                self.nodes.entry(id).and_modify(|n| {
+                    n.state = State::Gone;
+                    n.mark(now);
+                });
                 self.close_idle(id);
             }
         }
         for host in &list.hosts {
             let e = &host.entry;
-            let node = self.nodes.entry(e.server).or_insert(Node {
+            let node = self.nodes.entry(e.server).or_insert_with(|| Node {
+                name: host.name.clone(),
+                zone: e.zone,
+                withdrawn: self.withdrawn.contains(&e.server),
+                leaving: None,
+                sent: 0,
+                sent_leaving: 0,
                 address: host.dial,
                 state: e.state,
                 started: e.started,
@@ -233,7 +338,8 @@
             // Idle connections to a place or a process that the node has left serve nobody.
             let moved = (host.dial.is_some() && node.address != host.dial) || node.started != e.started;
             node.address = host.dial.or(node.address);
-            (node.state, node.started) = (e.state, e.started);
+            (node.state, node.started, node.zone) = (e.state, e.started, e.zone);
+            node.mark(now);
             if moved || e.state == State::Gone {
                 self.close_idle(e.server);
             }
@@ -519,7 +625,8 @@
         while let Some(c) = self.all.get_mut(key) {
             if c.writing.is_none() {
                 let Some(job) = c.queue.pop_front() else { return };
-                let ready = self.nodes.get(&c.node).is_some_and(|n| n.state == State::Ready);
+                let node = self.nodes.get_mut(&c.node);
+                let ready = node.as_ref().is_some_and(|n| n.takes());
                 // Danger: while it waited, its node may have begun to drain and its time may have gone by.
                 if !ready || job.until <= now {
                     let status = if ready { Status::ConnectFailed } else { Status::Moot };
@@ -536,6 +643,10 @@
                     c.out.extend_from_slice(b"\r\n");
                 }
                 c.writing = Some(Writing { job, written: 0, long });
+                if let Some(node) = node {
+                    node.sent += 1;
+                    node.sent_leaving += u64::from(node.leaving.is_some());
+                }
             }
             let Some(w) = &mut c.writing else { return };
             let value: &[u8] = if w.long { w.job.query.value() } else { &[] };
@@ -588,6 +699,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::client::tests::query;
     use crate::config::tests::sample;
     use crate::discovery::Host;
     use calicosaddle::api::Entry;
@@ -600,8 +712,8 @@
         let poll = mio::Poll::new().expect("a poll");
         let mut upstreams = Upstreams::new(&sample(), 8);
         let entry = Entry { server: 7, ..Entry::default() };
-        let hosts = vec![Host { entry, dial: listener.local_addr().ok() }];
-        upstreams.list(&List { version: 1, whole: true, hosts });
+        let hosts = vec![Host { name: "s-7".into(), entry, dial: listener.local_addr().ok() }];
+        upstreams.list(&List { version: 1, whole: true, hosts }, 0);
         let key = upstreams.open(poll.registry(), Token, 7, 0).0.expect("a connection");
         let mut node = listener.accept().expect("accepted").0;
         upstreams.all[key].up = true;
@@ -617,6 +729,28 @@
         assert!(upstreams.all.is_empty());
     }
 
+    #[test]
+    fn an_attempt_that_waits_for_its_turn_does_not_go_to_a_node_drained_meanwhile() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let poll = mio::Poll::new().expect("a poll");
+        let config = sample();
+        for withdrawn in [false, true] {
+            let mut upstreams = Upstreams::new(&config, 8);
+            let entry = Entry { server: 7, ..Entry::default() };
+            let hosts = vec![Host { name: "s-7".into(), entry, dial: listener.local_addr().ok() }];
+            upstreams.list(&List { version: 1, whole: true, hosts }, 0);
+            let job = Job { id: 1, attempt: 0, query: query(&config), until: 9_000 * MS };
+            let (key, _) = upstreams.send(poll.registry(), Token, 7, job, 0).expect("it waits");
+            listener.accept().expect("accepted");
+            if withdrawn {
+                upstreams.withdraw(&[7], 0);
+            }
+            upstreams.ready(key, false, &mut [0; 64], MS);
+            let ended = matches!(upstreams.news(), Some(News::Ended(1, 0, Status::Moot, _)));
+            assert_eq!((ended, upstreams.nodes[&7].sent), (withdrawn, u64::from(!withdrawn)));
+        }
+    }
+
     #[test]
     fn an_idle_time_is_given_up_by_the_part_that_breaks_and_tried_again_later() {
         let stated = 4_000 * MS;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for all that a proxy talks to, for tests and for a newcomer's first run. Never a part of a program
 //! that serves.
 
+pub mod controller;
 pub mod scripted;
 
 use std::path::PathBuf;
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -284,10 +284,15 @@
     launch_by(Command::new(program("trestlesill")), config).0
 }
 
-fn launch_by(mut program: Command, config: &str) -> (Child, PathBuf) {
-    static NEXT: AtomicU8 = AtomicU8::new(0);
+/// A path of this process's own in the folder for temporary files.
+pub fn scratch(name: &str) -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let path = std::env::temp_dir().join(format!("trestlesill-{}-{number}.json", std::process::id()));
+    std::env::temp_dir().join(format!("trestle-{}-{number}-{name}", std::process::id()))
+}
+
+fn launch_by(mut program: Command, config: &str) -> (Child, PathBuf) {
+    let path = scratch("config.json");
     std::fs::write(&path, config).expect("the configuration is written");
     program.env("NODE_CONFIG", &path).env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY");
     (program.stderr(Stdio::piped()).spawn().expect("the proxy starts"), path)
@@ -314,6 +319,35 @@
         Proxy::by(shell, config(&nodes.addresses))
     }
 
+    /// A proxy with an operator's file of this text; it knows these nodes.
+    pub fn operated(nodes: &Server, operator: &str, edit: impl FnOnce(&mut Value)) -> Proxy {
+        let mut config = config(&nodes.addresses);
+        edit(&mut config);
+        let file = scratch("operator.toml");
+        std::fs::write(&file, operator).expect("the operator's file is written");
+        let mut command = Command::new(program("trestlesill"));
+        command.arg("--operator").arg(&file);
+        Proxy::by(command, config)
+    }
+
+    /// Kills it, and starts it again as it was started.
+    pub fn kill_and_start(&mut self) {
+        let args: Vec<_> =
+            std::fs::read(format!("/proc/{}/cmdline", self.child.id())).expect("a command line");
+        let args: Vec<String> =
+            args.split(|b| *b == 0).map(|a| String::from_utf8_lossy(a).into_owned()).collect();
+        self.child.kill().expect("killed");
+        self.wait();
+        let mut command = Command::new(&args[0]);
+        command.args(args[1..].iter().filter(|a| !a.is_empty())).env("NODE_CONFIG", &self.path);
+        self.child = command.stderr(Stdio::piped()).spawn().expect("the proxy starts");
+    }
+
+    /// The text of its configuration file.
+    pub fn text(&self) -> String {
+        std::fs::read_to_string(&self.path).expect("a configuration")
+    }
+
     fn by(program: Command, config: Value) -> Proxy {
         let address = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
         let (child, path) = launch_by(program, &config.to_string());
