--- /dev/null
+++ b/crates/proxy/tests/world.rs
@@ -0,0 +1,123 @@
+//! Proxies in a whole world that goes wrong: by the records of its stand-ins, the four rules hold.
+
+use std::time::Duration;
+use testkit::process::{free_port, Folder, Instance};
+use testkit::scripted::PATIENCE;
+use testkit::world::{End, Fault, Health, Load, Mode, Script, Target, World, WorldConfig};
+
+/// The time that a proxy may still send to a box after it was told; 50 ms are the sockets'.
+const GRACE: Duration = Duration::from_millis(550);
+
+struct Setting {
+    world: World,
+    proxies: Vec<Instance>,
+    _folder: Folder,
+}
+
+fn start(seed: u64, boxes: usize, proxies: usize) -> Setting {
+    let world = World::start(WorldConfig::new(seed, boxes, proxies));
+    let folder = Folder::new("world").expect("a folder");
+    let program = testkit::program("trestlesill");
+    let start = |i| {
+        let config = world.proxy_config(i, free_port().expect("a port"));
+        let mut proxy = Instance::start(&program, &folder.0, &config, None).expect("started");
+        proxy.ready(PATIENCE).expect("ready");
+        proxy
+    };
+    let proxies = (0..proxies).map(start).collect();
+    Setting { world, proxies, _folder: folder }
+}
+
+impl Setting {
+    fn front(&self) -> Vec<Target> {
+        self.proxies.iter().enumerate().map(|(proxy, p)| Target { proxy, address: p.address }).collect()
+    }
+
+    /// Nothing is lost or answered twice, nothing takes effect twice, and nothing new went to a box after the
+    /// grace. How many were served, of how many tries.
+    fn rules_hold(&self, load: &Load) -> (usize, usize) {
+        let record = load.finish();
+        let count = |end: End| record.iter().filter(|a| a.end == end).count();
+        assert_eq!((count(End::Lost), count(End::Wrong), load.extra()), (0, 0, 0));
+        let twice: Vec<_> = self.world.origin.effects().into_iter().filter(|(_, n)| *n > 1).collect();
+        assert!(twice.is_empty(), "{twice:?}");
+        let by_id: std::collections::HashMap<&str, usize> =
+            record.iter().map(|a| (a.id.as_str(), a.proxy)).collect();
+        for one in &self.world.boxes {
+            for (i, _) in self.proxies.iter().enumerate() {
+                let told = self.world.discovery.told_of(i, &one.config.name, Health::Draining);
+                let back = told.and_then(|told| {
+                    let told_up = self.world.discovery.told();
+                    let up = told_up.into_iter().filter(|t| t.proxy == i && t.at > told);
+                    up.filter(|t| t.hosts.contains(&(one.config.name.clone(), Health::Up)))
+                        .map(|t| t.at)
+                        .next()
+                });
+                let Some(told) = told else { continue };
+                let late = one.record().into_iter().find(|s| {
+                    let its = by_id.get(s.id.as_str()) == Some(&i);
+                    its && s.at > told + GRACE && back.is_none_or(|back| s.at < back)
+                });
+                assert!(late.is_none(), "{} from n{i}, told at {told:?}: {late:?}", one.config.name);
+            }
+        }
+        (count(End::Served), record.len())
+    }
+}
+
+#[test]
+fn a_calm_world_is_served_whole() {
+    let setting = start(3, 6, 2);
+    let load = setting.world.load(Load::new(150.0, setting.front()));
+    std::thread::sleep(Duration::from_secs(2));
+    let (served, asked) = setting.rules_hold(&load);
+    assert!(asked > 200 && served * 100 >= asked * 98, "{served} of {asked}");
+    assert!(setting.world.boxes.iter().all(|b| b.connections() <= b.config.connections));
+}
+
+#[test]
+fn the_rules_hold_whatever_goes_wrong_with_boxes_zones_and_discovery() {
+    for seed in [11, 12, 13] {
+        let setting = start(seed, 9, 3);
+        let span = Duration::from_secs(4);
+        let script = Script::random(seed, 7, 9, 3, span);
+        println!("seed {seed}: {script:?}");
+        setting.world.play(script);
+        let load = setting.world.load(Load::new(150.0, setting.front()));
+        std::thread::sleep(span);
+        let (served, asked) = setting.rules_hold(&load);
+        assert!(served * 2 > asked, "seed {seed}: {served} of {asked}");
+    }
+}
+
+#[test]
+fn a_drained_box_gets_nothing_though_lists_come_late_and_fail() {
+    let mut config = WorldConfig::new(5, 6, 2);
+    config.lag = Duration::from_millis(700);
+    let world = World::start(config);
+    let folder = Folder::new("world").expect("a folder");
+    let program = testkit::program("trestlesill");
+    let proxies: Vec<Instance> = (0..2)
+        .map(|i| {
+            let config = world.proxy_config(i, free_port().expect("a port"));
+            let mut proxy = Instance::start(&program, &folder.0, &config, None).expect("started");
+            proxy.ready(PATIENCE).expect("ready");
+            proxy
+        })
+        .collect();
+    let setting = Setting { world, proxies, _folder: folder };
+    let ms = Duration::from_millis;
+    let script = Script::new().for_good(ms(300), Fault::Drain(0)).for_good(ms(300), Fault::Drain(3)).then(
+        ms(1_400),
+        ms(800),
+        Fault::Discovery(Mode::Silent),
+    );
+    setting.world.play(script);
+    let load = setting.world.load(Load::new(150.0, setting.front()));
+    std::thread::sleep(Duration::from_secs(3));
+    let (served, asked) = setting.rules_hold(&load);
+    for i in 0..2 {
+        assert!(setting.world.discovery.told_of(i, "s-3", Health::Draining).is_some(), "n{i} was told");
+    }
+    assert!(served * 10 > asked * 9, "{served} of {asked}");
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,8 +1,13 @@
 //! Stand-ins for all that a proxy talks to, for tests and for a newcomer's first run. Never a part of a program
 //! that serves.
+//!
+//! [`scripted`] has peers that a test plays move by move; [`world`] has whole ones that act by themselves, with
+//! faults scripted from a seed, and records of all that they saw; [`process`] starts programs beside them.
 
 pub mod controller;
+pub mod process;
 pub mod scripted;
+pub mod world;
 
 use std::path::PathBuf;
 
--- /dev/null
+++ b/crates/testkit/src/process.rs
@@ -0,0 +1,152 @@
+//! Programs that run beside a world's stand-ins.
+
+use serde_json::Value;
+use std::io;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// A folder that goes when it is dropped.
+#[derive(Debug)]
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    /// A new one among the temporary files, for its owner alone.
+    ///
+    /// # Errors
+    /// It can't be made.
+    pub fn new(name: &str) -> io::Result<Folder> {
+        use std::os::unix::fs::DirBuilderExt;
+        let path = crate::scripted::scratch(name);
+        std::fs::DirBuilder::new().mode(0o700).create(&path)?;
+        Ok(Folder(path))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A free port of this machine's loopback; another process may take it before it is used.
+///
+/// # Errors
+/// There is none.
+pub fn free_port() -> io::Result<SocketAddr> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+/// A running proxy. It is killed when it is dropped.
+#[derive(Debug)]
+pub struct Instance {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// The process.
+    pub child: Child,
+    program: PathBuf,
+    config: PathBuf,
+    operator: Option<PathBuf>,
+}
+
+impl Instance {
+    /// Starts a proxy on a configuration, with its files in `folder`; its log goes to a file there.
+    ///
+    /// # Errors
+    /// The files can't be written, or the program not be run.
+    pub fn start(
+        program: &Path,
+        folder: &Path,
+        config: &Value,
+        operator: Option<&str>,
+    ) -> io::Result<Instance> {
+        let name = config["name"].as_str().unwrap_or("n").to_owned();
+        let address = config["listen"].as_str().and_then(|a| a.parse().ok());
+        let address = address.ok_or_else(|| io::Error::other("the configuration has no address"))?;
+        let path = folder.join(format!("{name}.json"));
+        std::fs::write(&path, config.to_string())?;
+        let operator = match operator {
+            Some(text) => {
+                let path = folder.join(format!("{name}.toml"));
+                std::fs::write(&path, text)?;
+                Some(path)
+            }
+            None => None,
+        };
+        let log = folder.join(format!("{name}.log"));
+        let child = launch(program, &path, operator.as_deref(), &log)?;
+        Ok(Instance { name, address, child, program: program.to_owned(), config: path, operator })
+    }
+
+    /// Waits until it answers `PING`.
+    ///
+    /// # Errors
+    /// It does not within `patience`, or it has ended.
+    pub fn ready(&mut self, patience: Duration) -> io::Result<()> {
+        let begun = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Err(io::Error::other(format!("{} ended: {status}", self.name)));
+            }
+            if answers(self.address) {
+                return Ok(());
+            }
+            if begun.elapsed() > patience {
+                return Err(io::Error::other(format!("{} does not answer", self.name)));
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Kills it and starts it again on the same files.
+    ///
+    /// # Errors
+    /// The program can't be run.
+    pub fn kill_and_start(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        let log = self.config.with_extension("log");
+        self.child = launch(&self.program, &self.config, self.operator.as_deref(), &log)?;
+        Ok(())
+    }
+
+    /// Sends it a signal, as `kill` names it.
+    ///
+    /// # Errors
+    /// It can't be sent.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        Command::new("kill").args([name, &self.child.id().to_string()]).status().map(|_| ())
+    }
+}
+
+fn launch(program: &Path, config: &Path, operator: Option<&Path>, log: &Path) -> io::Result<Child> {
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+    let mut command = Command::new(program);
+    if let Some(operator) = operator {
+        command.arg("--operator").arg(operator);
+    }
+    command.env("NODE_CONFIG", config).env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY");
+    command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log).spawn()
+}
+
+/// Does a proxy answer `PING` there?
+pub fn answers(address: SocketAddr) -> bool {
+    let patience = Duration::from_millis(500);
+    let Ok(mut stream) = TcpStream::connect_timeout(&address, patience) else { return false };
+    let mut answer = [0; 7];
+    stream.set_read_timeout(Some(patience)).is_ok()
+        && stream.write_all(b"*1\r\n$4\r\nPING\r\n").is_ok()
+        && stream.read_exact(&mut answer).is_ok()
+        && &answer == b"+PONG\r\n"
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -177,6 +177,12 @@
         (0..count.parse().expect("a count")).map(|_| self.bulk()).collect()
     }
 
+    /// What comes next, in one piece; nothing at the end of the connection.
+    pub fn take_some(&mut self) -> Vec<u8> {
+        self.more();
+        std::mem::take(&mut self.input)
+    }
+
     /// All bytes up to the end of the connection.
     pub fn rest(&mut self) -> Vec<u8> {
         while self.more() {}
--- /dev/null
+++ b/crates/testkit/src/world/mod.rs
@@ -0,0 +1,238 @@
+//! Stand-ins that act by themselves: cache boxes before a slow origin, discovery, a network of zones, clients.
+//!
+//! All of them live on one thread of their own and are steered from any other. What they do by chance comes from
+//! the world's seed, what goes wrong from a [`Script`]; sockets and the machine's load decide the rest. Each
+//! keeps a record, with times since the world's start, so that a test can say who got what after when.
+//!
+//! Left out: a connection over a cut link still comes up (the kernel of this machine accepts it) and is silent
+//! then; the origin's own stop under overload is a queue that turns away.
+
+mod boxes;
+mod clients;
+mod discovery;
+mod faults;
+mod network;
+mod origin;
+
+pub use boxes::{BoxConfig, CacheBox, Seen};
+pub use clients::{Asked, End, Load, Target};
+pub use discovery::{Discovery, Health, Mode, Told};
+pub use faults::{Fault, Script, Step};
+pub use network::Network;
+pub use origin::Origin;
+
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc;
+
+type Work = Box<dyn FnOnce() + Send>;
+
+/// Locks; a panic elsewhere has failed the test already.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// The time since a world's start.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix_ms: u64,
+}
+
+impl Clock {
+    /// Since the world's start.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// The same as Unix time in milliseconds.
+    pub fn unix_ms(&self) -> u64 {
+        self.unix_ms + self.now().as_millis() as u64
+    }
+}
+
+/// What a world is made of.
+#[derive(Clone, Debug)]
+pub struct WorldConfig {
+    /// The source of chance.
+    pub seed: u64,
+    /// Names of zones.
+    pub zones: Vec<String>,
+    /// One way between two zones.
+    pub distance: Duration,
+    /// Its boxes.
+    pub boxes: Vec<BoxConfig>,
+    /// How many proxies will ask its discovery.
+    pub proxies: usize,
+    /// Fetches that the origin works on at once, and how long each takes.
+    pub origin: (usize, Duration),
+    /// How much later than a change discovery tells of it.
+    pub lag: Duration,
+}
+
+impl WorldConfig {
+    /// So many boxes of mixed speed over three zones, warm, for so many proxies.
+    pub fn new(seed: u64, boxes: usize, proxies: usize) -> Self {
+        let zones: Vec<String> = ["joburg", "durban", "cape-town"].map(String::from).into();
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let boxes = (0..boxes)
+            .map(|i| BoxConfig {
+                zone: i % zones.len(),
+                speed: [2.0, 1.2, 0.8][rng.usize(..3)],
+                ..BoxConfig::new(&format!("s-{i}"))
+            })
+            .collect();
+        let distance = Duration::from_millis(3);
+        let origin = (64, Duration::from_millis(20));
+        WorldConfig { seed, zones, distance, boxes, proxies, origin, lag: Duration::ZERO }
+    }
+}
+
+/// A whole world. It ends when it is dropped.
+pub struct World {
+    /// Its time.
+    pub clock: Clock,
+    /// The network between its zones.
+    pub network: Arc<Network>,
+    /// What the boxes cache.
+    pub origin: Arc<Origin>,
+    /// The boxes.
+    pub boxes: Vec<Arc<CacheBox>>,
+    /// Discovery.
+    pub discovery: Arc<Discovery>,
+    config: WorldConfig,
+    spawn: mpsc::UnboundedSender<Work>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl World {
+    /// Starts everything.
+    ///
+    /// # Panics
+    /// If the machine has no sockets left.
+    pub fn start(config: WorldConfig) -> World {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let clock = Clock { start: Instant::now(), unix_ms: unix.as_millis() as u64 };
+        let (spawn, mut work) = mpsc::unbounded_channel::<Work>();
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let runtime = runtime.expect("a runtime");
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, async {
+                while let Some(work) = work.recv().await {
+                    work();
+                }
+            });
+        });
+        let network = Arc::new(Network::new(config.zones.len(), config.distance));
+        let origin = Arc::new(Origin::new(clock, config.origin.0, config.origin.1));
+        let mut boxes = Vec::new();
+        for (i, one) in config.boxes.iter().enumerate() {
+            let seed = config.seed.wrapping_add(1 + i as u64);
+            let peer = CacheBox::new(one.clone(), clock, origin.clone(), network.clone(), seed);
+            boxes.push(Arc::new(peer));
+        }
+        // A write voids the copies that other boxes keep.
+        origin.caches(boxes.iter().map(|b| b.cache()).collect());
+        let discovery = Arc::new(Discovery::new(clock, config.proxies, config.zones.clone(), config.lag));
+        let world = World { clock, network, origin, boxes, discovery, config, spawn, thread: Some(thread) };
+        for one in &world.boxes {
+            world.serve_box(one);
+            world.discovery.add(one, world.config.zones[one.config.zone].clone());
+        }
+        let discovery = world.discovery.clone();
+        world.run(move || discovery.serve());
+        world
+    }
+
+    /// Runs something on the world's thread, where it may spawn tasks.
+    fn run(&self, work: impl FnOnce() + Send + 'static) {
+        let _ = self.spawn.send(Box::new(work));
+    }
+
+    fn serve_box(&self, one: &Arc<CacheBox>) {
+        let one = one.clone();
+        self.run(move || one.serve());
+    }
+
+    /// Plays a script from now on.
+    pub fn play(&self, script: Script) {
+        let (boxes, network) = (self.boxes.clone(), self.network.clone());
+        let (discovery, origin) = (self.discovery.clone(), self.origin.clone());
+        self.run(move || {
+            for step in script.steps {
+                let (boxes, network) = (boxes.clone(), network.clone());
+                let (discovery, origin) = (discovery.clone(), origin.clone());
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(step.at).await;
+                    faults::set(&step.fault, true, &boxes, &network, &discovery, &origin);
+                    if let Some(lasts) = step.lasts {
+                        tokio::time::sleep(lasts).await;
+                        faults::set(&step.fault, false, &boxes, &network, &discovery, &origin);
+                    }
+                });
+            }
+        });
+    }
+
+    /// Starts clients.
+    pub fn load(&self, load: Load) -> Arc<Load> {
+        let load = Arc::new(load);
+        let (running, clock, seed) = (load.clone(), self.clock, self.config.seed);
+        self.run(move || running.run(clock, seed));
+        load
+    }
+
+    /// The zone of a proxy, by its number.
+    pub fn zone_of(&self, proxy: usize) -> usize {
+        proxy % self.config.zones.len()
+    }
+
+    /// The list as discovery has it now, as proxy number `proxy` would be told.
+    pub fn known(&self, proxy: usize) -> Value {
+        self.discovery.whole(self.zone_of(proxy))
+    }
+
+    /// The configuration of a proxy, by its number, that listens there.
+    pub fn proxy_config(&self, proxy: usize, listen: SocketAddr) -> Value {
+        let class = |name: &str, aim: u64, deadline: u64, effect: &str, worth: f64| {
+            json!({"name": name, "promise_ns": aim * 1_000_000, "deadline_ns": deadline * 1_000_000,
+                "effect": effect, "group": "all", "dedup_window_ns": 1_000_000_000u64, "value": worth,
+                "late_value": 0.0, "stream": false})
+        };
+        let seed = self.config.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(proxy as u64);
+        json!({
+            "name": format!("n{proxy}"), "listen": listen.to_string(),
+            "discovery": self.discovery.address(proxy).to_string(), "seed": format!("{seed:016x}"),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": self.known(proxy),
+            "settings": {
+                "n_instances": self.config.proxies, "self_index": proxy, "zone": self.zone_of(proxy),
+                "localities": self.config.zones, "machine_types": ["m1"],
+                "categories": [class("pack-lookup", 300, 750, "safe", 1.0),
+                    class("swap-record", 500, 1_000, "keyed", 5.0)],
+                "caps": {"attempts_cap": 5, "cancelling": true, "second_copies": true, "max_open": 4000,
+                    "streams_per_conn": 8, "conn_idle_ns": 5_000_000_000u64,
+                    "connect_timeout_ns": 300_000_000u64, "max_retry_after_ns": 1_000_000_000u64},
+                "rules": {"cold_from": 0.15, "cold_ns": 24_000_000_000u64, "fall_multiple": 3.0,
+                    "fall_ns": 1_000_000_000u64, "drain_grace_ns": 500_000_000u64,
+                    "must_ask_in_ns": 10_000_000_000u64},
+                "discovery": "subscribe", "family_info": {"mode": "through", "origin_kind": -1},
+                "report": {"columns": []}, "worth_by": "request",
+            },
+        })
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        // The thread ends with its channel, and its tasks with it.
+        let (spawn, _) = mpsc::unbounded_channel();
+        self.spawn = spawn;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
