trestle-agent: runs the proxies of a machine through its own death and theirs

Need: the fleet's choices have to meet processes, files and sockets without losing what they promise. Its API is HTTP/1.1 and JSON over a Unix socket, optionally on loopback TCP with a token; writes carry an id and the generation that they are based on. Proxies tell their list in discovery's form for it.

SIGKILL in place of SIGTERM the rolling restart loses a request and the test says so; it did not before the stand-in clients could tell a lost request from a crossed one.

--- /dev/null
+++ b/crates/agent/src/api.rs
@@ -0,0 +1,219 @@
+//! The agent's API: HTTP/1.1 and JSON, over a Unix-domain socket, and over TCP for who has the token.
+
+use crate::host::{Message, Order};
+use fleet::Rejection;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Deserialize;
+use serde_json::{json, Value};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, UnixListener};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+
+/// The longest body of a request.
+const MAX_BODY: usize = 16 << 20;
+/// Connections at once, over each of the two ways. Further ones wait in the kernel.
+const CONNECTIONS: usize = 64;
+/// A request's head must come within this, and its body too.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// The longest that a watch waits.
+const WATCH: Duration = Duration::from_secs(60);
+
+/// What the API needs of the agent.
+#[derive(Clone)]
+pub struct Api {
+    /// The host.
+    pub messages: mpsc::UnboundedSender<Message>,
+    /// Counts what is seen.
+    pub changed: watch::Receiver<u64>,
+}
+
+/// A write.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Write {
+    id: String,
+    base: u64,
+    #[serde(default)]
+    force: bool,
+    #[serde(default)]
+    dry_run: bool,
+    command: Order,
+}
+
+type Answer = (StatusCode, Value);
+
+fn error(status: StatusCode, code: &str, message: impl Into<String>) -> Answer {
+    (status, json!({"error": {"code": code, "message": message.into()}}))
+}
+
+/// Same length and content, in a time that does not tell where they differ.
+fn same(a: &[u8], b: &[u8]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).fold(0, |d, (x, y)| d | (x ^ y)) == 0
+}
+
+impl Api {
+    /// Serves a Unix-domain socket to those users.
+    pub async fn unix(self, listener: UnixListener, uids: Vec<u32>) {
+        let places = Arc::new(Semaphore::new(CONNECTIONS));
+        loop {
+            let Ok(place) = places.clone().acquire_owned().await else { return };
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            if stream.peer_cred().is_ok_and(|c| uids.contains(&c.uid())) {
+                let api = self.clone();
+                tokio::spawn(async move {
+                    api.connection(stream, None).await;
+                    drop(place);
+                });
+            }
+        }
+    }
+
+    /// Serves TCP to who has the token.
+    pub async fn tcp(self, listener: TcpListener, token: Arc<str>) {
+        let places = Arc::new(Semaphore::new(CONNECTIONS));
+        loop {
+            let Ok(place) = places.clone().acquire_owned().await else { return };
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            };
+            let (api, token) = (self.clone(), token.clone());
+            tokio::spawn(async move {
+                api.connection(stream, Some(token)).await;
+                drop(place);
+            });
+        }
+    }
+
+    async fn connection(
+        self,
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        token: Option<Arc<str>>,
+    ) {
+        let service = hyper::service::service_fn(move |request| {
+            let (api, token) = (self.clone(), token.clone());
+            async move {
+                let (status, body) = api.request(request, token.as_deref()).await;
+                let response = Response::builder().status(status).header(CONTENT_TYPE, "application/json");
+                response.body(Full::new(Bytes::from(body.to_string() + "\n")))
+            }
+        });
+        // What goes wrong with a connection concerns its client alone.
+        let _ = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(PATIENCE)
+            .max_buf_size(64 << 10)
+            .serve_connection(TokioIo::new(stream), service)
+            .await;
+    }
+
+    async fn request(&self, request: Request<Incoming>, token: Option<&str>) -> Answer {
+        if let Some(token) = token {
+            let told = request.headers().get(AUTHORIZATION).map(|v| v.as_bytes()).unwrap_or_default();
+            if !same(told, format!("Bearer {token}").as_bytes()) {
+                return error(StatusCode::UNAUTHORIZED, "token", "the token is missing or wrong");
+            }
+        }
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let steps: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        match (request.method(), &steps[..]) {
+            (&Method::GET, ["v1", "fleet"]) => self.ask(Message::Fleet).await,
+            (&Method::GET, ["v1", "watch"]) => self.watch(&query).await,
+            (&Method::GET, ["v1", "instances", name]) => {
+                let name = (*name).to_owned();
+                self.find(|to| Message::Inspect(name, to), "no such instance").await
+            }
+            (&Method::GET, ["v1", "operations", id]) => {
+                let id = (*id).to_owned();
+                self.find(|to| Message::Operation(id, to), "no such operation, or it is long over").await
+            }
+            (&Method::POST, ["v1", "operations"]) => self.write(request).await,
+            (_, ["v1", "fleet" | "watch" | "operations"] | ["v1", "instances" | "operations", _]) => {
+                error(StatusCode::METHOD_NOT_ALLOWED, "method", "GET reads, POST /v1/operations writes")
+            }
+            _ => error(StatusCode::NOT_FOUND, "path", format!("there is no {path}")),
+        }
+    }
+
+    async fn ask(&self, message: impl FnOnce(oneshot::Sender<Value>) -> Message) -> Answer {
+        let (to, answer) = oneshot::channel();
+        let _ = self.messages.send(message(to));
+        match answer.await {
+            Ok(value) => (StatusCode::OK, value),
+            Err(_) => error(StatusCode::SERVICE_UNAVAILABLE, "stopping", "the agent is about to end"),
+        }
+    }
+
+    async fn find(
+        &self,
+        message: impl FnOnce(oneshot::Sender<Option<Value>>) -> Message,
+        none: &str,
+    ) -> Answer {
+        let (to, answer) = oneshot::channel();
+        let _ = self.messages.send(message(to));
+        match answer.await {
+            Ok(Some(value)) => (StatusCode::OK, value),
+            Ok(None) => error(StatusCode::NOT_FOUND, "unknown", none),
+            Err(_) => error(StatusCode::SERVICE_UNAVAILABLE, "stopping", "the agent is about to end"),
+        }
+    }
+
+    /// Waits until something other than what `after` counts is seen.
+    async fn watch(&self, query: &str) -> Answer {
+        let number = |name: &str| -> Option<u64> {
+            query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+        };
+        let mut changed = self.changed.clone();
+        if let Some(after) = number("after") {
+            let wait = number("timeout_ms").map_or(WATCH, Duration::from_millis).min(WATCH);
+            let _ = tokio::time::timeout(wait, changed.wait_for(|n| *n != after)).await;
+        }
+        let now = *changed.borrow();
+        let (status, fleet) = self.ask(Message::Fleet).await;
+        (status, json!({"change": now, "fleet": fleet}))
+    }
+
+    async fn write(&self, request: Request<Incoming>) -> Answer {
+        let body = Limited::new(request.into_body(), MAX_BODY).collect();
+        let body = match tokio::time::timeout(PATIENCE, body).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => {
+                return error(
+                    StatusCode::PAYLOAD_TOO_LARGE,
+                    "body",
+                    format!("over {MAX_BODY} bytes, or not whole"),
+                )
+            }
+            Err(_) => return error(StatusCode::REQUEST_TIMEOUT, "body", "the body did not come in time"),
+        };
+        let write: Write = match serde_json::from_slice(&body) {
+            Ok(write) => write,
+            Err(e) => return error(StatusCode::BAD_REQUEST, "invalid", e.to_string()),
+        };
+        let (answer, answered) = oneshot::channel();
+        let Write { id, base, force, dry_run, command: order } = write;
+        let _ = self.messages.send(Message::Submit { id, base, force, dry_run, order, answer });
+        match answered.await {
+            Ok(Ok(done)) => (StatusCode::OK, done),
+            Ok(Err(e)) => {
+                let (status, code) = match &e {
+                    Rejection::Conflict { .. } => (StatusCode::CONFLICT, "conflict"),
+                    Rejection::Invalid(_) => (StatusCode::BAD_REQUEST, "invalid"),
+                    Rejection::Unsafe(_) => (StatusCode::UNPROCESSABLE_ENTITY, "unsafe"),
+                };
+                error(status, code, e.to_string())
+            }
+            Err(_) => error(StatusCode::SERVICE_UNAVAILABLE, "stopping", "the agent is about to end"),
+        }
+    }
+}
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -39,6 +39,8 @@
         #[serde(default)]
         limit: Option<usize>,
     },
+    /// The list of boxes in discovery's form, as a configuration's `known` wants it.
+    List,
     /// Take nothing new: close the listener and each connection between requests; answer what is taken.
     Drain,
     /// Serve again after [`Op::Drain`].
@@ -112,6 +114,8 @@
     Status(Box<Status>),
     /// To `boxes`.
     Boxes(Page),
+    /// To `list`.
+    Known(Known),
     /// To `reconfigure`.
     Reconfigured(Reconfigured),
 }
@@ -210,6 +214,13 @@
     pub lists: u64,
 }
 
+/// A list in discovery's form.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Known {
+    /// `seq`, `whole`, `hosts`; null where no list is known, or where it is too long to be told.
+    pub known: Value,
+}
+
 /// A page of boxes.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct Page {
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -442,5 +442,8 @@
 
 /// Does this change something that a proxy on its way out no longer can?
 pub fn needs_life(op: &Op) -> bool {
-    !matches!(op, Op::Status | Op::Boxes { .. } | Op::Watch { .. } | Op::Reconfigure { dry_run: true, .. })
+    !matches!(
+        op,
+        Op::Status | Op::List | Op::Boxes { .. } | Op::Watch { .. } | Op::Reconfigure { dry_run: true, .. }
+    )
 }
--- a/crates/proxy/src/operate.rs
+++ b/crates/proxy/src/operate.rs
@@ -4,10 +4,13 @@
 use crate::config::Config;
 use crate::control::{interval, needs_life};
 use crate::{Proxy, LISTENER, MS};
-use ::control::message::{Answer, Body, Code, Error, List, Page, Phase, Reconfigured, Status, MAX_PAGE};
+use ::control::message::{
+    Answer, Body, Code, Error, Known, List, Page, Phase, Reconfigured, Status, MAX_PAGE,
+};
 use ::control::state::follows;
-use ::control::{Op, Request, State};
+use ::control::{Op, Request, State, MAX_REPLY};
 use calicosaddle::api::{server_id, Event, Nanos, ServerId};
+use serde_json::{json, Value};
 
 impl Proxy {
     /// Does the work that controllers have, when its turn has come.
@@ -77,6 +80,7 @@
                 let (boxes, more) = self.upstreams.page(&after, limit, false, zones, self.now);
                 return Ok(Answer::Boxes(Page { boxes, more }));
             }
+            Op::List => return Ok(Answer::Known(Known { known: self.known() })),
             Op::Drain => self.drain()?,
             Op::Undrain => self.undrain()?,
             Op::DrainBox { name } => self.keep(state.with_box(&name, true)?)?,
@@ -89,6 +93,17 @@
         Ok(Answer::Status(Box::new(self.status())))
     }
 
+    /// The list, as the next process may begin with it. Its version is discovery's.
+    fn known(&self) -> Value {
+        let Some(version) = self.discovery.known().0 else { return Value::Null };
+        let hosts = self.upstreams.hosts(&self.config.names);
+        // Danger: an answer past the frame's bound would end the connection.
+        if hosts.len() > MAX_REPLY / 512 {
+            return Value::Null;
+        }
+        json!({"seq": version, "whole": true, "hosts": hosts})
+    }
+
     // ---- drains ----
 
     fn keep(&mut self, change: Option<State>) -> Result<(), Error> {
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -5,13 +5,14 @@
 
 use crate::client::Query;
 use crate::config::Config;
-use crate::discovery::News as List;
-use calicosaddle::api::{Nanos, RequestId, ServerId, State, Status};
+use crate::discovery::{Names, News as List};
+use calicosaddle::api::{Entry, Nanos, RequestId, ServerId, State, Status};
 use control::message::BoxStatus;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use resp::{Kind, Reply, ReplyParser};
 use rustc_hash::{FxHashMap, FxHashSet};
+use serde_json::{json, Value};
 use slab::Slab;
 use std::collections::VecDeque;
 use std::io::{self, IoSlice, Read, Write};
@@ -65,7 +66,8 @@
 #[derive(Debug)]
 struct Node {
     name: Box<str>,
-    zone: u32,
+    /// As the list has it.
+    entry: Entry,
     /// An operator drained it.
     withdrawn: bool,
     /// Since when it is known here that it is to get nothing new.
@@ -74,15 +76,13 @@
     sent: u64,
     sent_leaving: u64,
     address: Option<SocketAddr>,
-    state: State,
-    started: Nanos,
     connections: Vec<usize>,
 }
 
 impl Node {
     /// Takes work: discovery and the operators both say so.
     fn takes(&self) -> bool {
-        self.state == State::Ready && !self.withdrawn
+        self.entry.state == State::Ready && !self.withdrawn
     }
 
     /// Notes whether it takes work from now on.
@@ -140,6 +140,15 @@
     }
 }
 
+/// A state as discovery names it.
+fn word(state: State) -> &'static str {
+    match state {
+        State::Ready => "up",
+        State::Draining => "draining",
+        State::Gone => "removed",
+    }
+}
+
 /// The command that is being written.
 #[derive(Debug)]
 struct Writing {
@@ -245,7 +254,7 @@
 
     /// How many nodes are listed, how many take work, and how many connections and attempts there are.
     pub fn counts(&self) -> (usize, usize, usize, usize) {
-        let listed = self.nodes.values().filter(|n| n.state != State::Gone).count();
+        let listed = self.nodes.values().filter(|n| n.entry.state != State::Gone).count();
         let usable = self.nodes.values().filter(|n| n.takes()).count();
         let attempts = self.all.iter().map(|(_, c)| c.depth()).sum();
         (listed, usable, self.all.len(), attempts)
@@ -271,18 +280,28 @@
         (found.into_iter().map(|n| self.describe(n, zones, now)).collect(), more)
     }
 
+    /// The nodes in discovery's form, by name.
+    pub fn hosts(&self, names: &Names) -> Vec<Value> {
+        let there = |n: &&Node| n.entry.state != State::Gone && n.address.is_some();
+        let mut all: Vec<&Node> = self.nodes.values().filter(there).collect();
+        all.sort_unstable_by(|a, b| a.name.cmp(&b.name));
+        let name = |all: &[String], i: u32| all.get(i as usize).map_or(Value::Null, |n| json!(n));
+        let host = |n: &Node| {
+            let e = &n.entry;
+            json!({"host": n.name, "dial": n.address.map(|a| a.to_string()), "site": name(&names.zones, e.zone),
+                "class": name(&names.kinds, e.kind), "block": e.cell, "health": word(e.state),
+                "share": e.weight, "born_ms": e.started / MS})
+        };
+        all.into_iter().map(host).collect()
+    }
+
     fn describe(&self, node: &Node, zones: &[String], now: Nanos) -> BoxStatus {
         let depth = |key: &usize| self.all.get(*key).map_or(0, Connection::depth);
         BoxStatus {
             name: node.name.to_string(),
             address: node.address.map(|a| a.to_string()),
-            zone: zones.get(node.zone as usize).cloned(),
-            listed: match node.state {
-                State::Ready => "up",
-                State::Draining => "draining",
-                State::Gone => "removed",
-            }
-            .into(),
+            zone: zones.get(node.entry.zone as usize).cloned(),
+            listed: word(node.entry.state).into(),
             drained: node.withdrawn,
             usable: node.takes(),
             connections: node.connections.len(),
@@ -315,7 +334,7 @@
             let left: Vec<ServerId> = self.nodes.keys().copied().filter(|id| !named.contains(id)).collect();
             for id in left {
                 self.nodes.entry(id).and_modify(|n| {
-                    n.state = State::Gone;
+                    n.entry.state = State::Gone;
                     n.mark(now);
                 });
                 self.close_idle(id);
@@ -325,20 +344,18 @@
             let e = &host.entry;
             let node = self.nodes.entry(e.server).or_insert_with(|| Node {
                 name: host.name.clone(),
-                zone: e.zone,
+                entry: e.clone(),
                 withdrawn: self.withdrawn.contains(&e.server),
                 leaving: None,
                 sent: 0,
                 sent_leaving: 0,
                 address: host.dial,
-                state: e.state,
-                started: e.started,
                 connections: Vec::new(),
             });
             // Idle connections to a place or a process that the node has left serve nobody.
-            let moved = (host.dial.is_some() && node.address != host.dial) || node.started != e.started;
+            let moved = (host.dial.is_some() && node.address != host.dial) || node.entry.started != e.started;
             node.address = host.dial.or(node.address);
-            (node.state, node.started, node.zone) = (e.state, e.started, e.zone);
+            node.entry = e.clone();
             node.mark(now);
             if moved || e.state == State::Gone {
                 self.close_idle(e.server);
@@ -349,7 +366,7 @@
 
     /// Forgets the nodes that are gone and have no connection left.
     fn forget(&mut self) {
-        self.nodes.retain(|_, n| n.state != State::Gone || !n.connections.is_empty());
+        self.nodes.retain(|_, n| n.entry.state != State::Gone || !n.connections.is_empty());
     }
 
     /// Closes the idle connections to a node.
@@ -702,7 +719,6 @@
     use crate::client::tests::query;
     use crate::config::tests::sample;
     use crate::discovery::Host;
-    use calicosaddle::api::Entry;
     use std::net::TcpListener;
     use std::time::{Duration, Instant};
 
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -363,3 +363,12 @@
     assert_eq!(error.lines().count(), 1);
     assert!(error.contains("control.socket: is missing; speed: is unknown"), "{error}");
 }
+
+#[test]
+fn the_list_is_told_as_the_next_process_can_begin_with_it() {
+    let nodes = Server::many(2);
+    let operated = Operated::start(&nodes);
+    let text: Value = serde_json::from_str(&operated.proxy.text()).expect("JSON");
+    let told = operated.control().ok(json!({"op": "list"}));
+    assert_eq!(told["known"], text["known"]);
+}
--- a/crates/proxy/tests/world.rs
+++ b/crates/proxy/tests/world.rs
@@ -39,6 +39,7 @@
         let record = load.finish();
         let count = |end: End| record.iter().filter(|a| a.end == end).count();
         assert_eq!((count(End::Lost), count(End::Wrong), load.extra()), (0, 0, 0));
+        assert_eq!(self.world.taken_and_lost(load), Vec::<String>::new());
         let twice: Vec<_> = self.world.origin.effects().into_iter().filter(|(_, n)| *n > 1).collect();
         assert!(twice.is_empty(), "{twice:?}");
         let by_id: std::collections::HashMap<&str, usize> =
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`scripted`] has peers that a test plays move by move; [`world`] has whole ones that act by themselves, with
 //! faults scripted from a seed, and records of all that they saw; [`process`] starts programs beside them.
 
+pub mod agent;
 pub mod controller;
 pub mod process;
 pub mod scripted;
--- a/crates/testkit/src/world/clients.rs
+++ b/crates/testkit/src/world/clients.rs
@@ -80,6 +80,8 @@
     open: AtomicUsize,
     stopped: AtomicBool,
     extra: AtomicUsize,
+    /// Requests on kept connections that ended without an answer, and when: each may have crossed the close.
+    crossed: Mutex<Vec<(String, Duration)>>,
 }
 
 /// A client waits so long for a read, and for a write.
@@ -110,6 +112,7 @@
             open: AtomicUsize::new(0),
             stopped: AtomicBool::new(false),
             extra: AtomicUsize::new(0),
+            crossed: Mutex::default(),
         }
     }
 
@@ -128,6 +131,12 @@
         self.extra.load(Ordering::Relaxed)
     }
 
+    /// Requests on kept connections that ended without an answer, with the time. They went out once more, as the
+    /// protocol wants it where a close crosses a request that has not been read.
+    pub fn crossed(&self) -> Vec<(String, Duration)> {
+        lock(&self.crossed).clone()
+    }
+
     /// Asks for nothing more, and waits until all that is open has ended.
     ///
     /// # Panics
@@ -176,7 +185,7 @@
         for tries in 0..=self.retries {
             let id = format!("{number:010x}{tries:02x}");
             let sent = clock.now();
-            let (proxy, end) = self.one(pool, &id, key, write.as_deref(), rng).await;
+            let (proxy, end) = self.one(clock, pool, &id, key, write.as_deref(), rng).await;
             let ended = clock.now();
             lock(&self.record).push(Asked { id, key, write: write.clone(), proxy, sent, ended, end, tries });
             // A write that may have run is not the client's to repeat; a refusal says that it has not.
@@ -190,6 +199,7 @@
     /// One try: at the next proxy that can be connected to.
     async fn one(
         &self,
+        clock: Clock,
         pool: &Pool,
         id: &str,
         key: u64,
@@ -228,7 +238,10 @@
             let _ = stream.set_nodelay(true);
             match self.exchange(pool, target.proxy, stream, &command, key, due).await {
                 Try::Ended(end) => return (target.proxy, end),
-                Try::Crossed if reused => fresh = true,
+                Try::Crossed if reused => {
+                    lock(&self.crossed).push((id.to_owned(), clock.now()));
+                    fresh = true;
+                }
                 Try::Crossed => return (target.proxy, End::Lost),
             }
         }
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -185,6 +185,15 @@
         load
     }
 
+    /// Requests that a proxy had read, and left unanswered by ending the connection: a box had seen them by then.
+    pub fn taken_and_lost(&self, load: &Load) -> Vec<String> {
+        let crossed = load.crossed();
+        let seen: std::collections::HashMap<String, Duration> =
+            self.boxes.iter().flat_map(|b| b.record()).rev().map(|s| (s.id, s.at)).collect();
+        let lost = crossed.into_iter().filter(|(id, at)| seen.get(id).is_some_and(|seen| seen < at));
+        lost.map(|(id, _)| id).collect()
+    }
+
     /// The zone of a proxy, by its number.
     pub fn zone_of(&self, proxy: usize) -> usize {
         proxy % self.config.zones.len()
