--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -35,6 +35,9 @@
     let begin = fleet.apply(|_| {});
     let id = fleet.agent.order(&begin);
     fleet.agent.until(&id, "applied", LONG);
+    // The agent learns of boxes by the first list of an instance.
+    let known = |a: &Agent| a.folder.0.join("instances/n0/known.json").exists();
+    fleet.agent.wait("its list is kept", PATIENCE, known);
     fleet
 }
 
@@ -122,7 +125,6 @@
     let id = f.agent.order(&drain("s-0"));
     f.agent.until(&id, "applied", LONG);
     // The agent is away, so that nothing but what the instance has tells it.
-    f.agent.wait("its list is kept", PATIENCE, |a| a.folder.0.join("instances/n0/known.json").exists());
     f.agent.kill();
     f.agent.signal("n0", "-KILL");
     f.agent.run(&[], &[]);
