trestlectl: the fleet commands, for several agents, with honest exit codes

Need: operators handle proxies one by one. The tool brings up, ends, drains, restarts and reconfigures instances, drains boxes, steers rollouts, watches, checks files.

--- /dev/null
+++ b/crates/ctl/src/file.rs
@@ -0,0 +1,131 @@
+//! A fleet's file: TOML that names instances and their configurations.
+//!
+//! ```toml
+//! version = 1
+//!
+//! [policy]
+//! batch = 1
+//!
+//! [[instance]]
+//! name = "n0"
+//! zone = "joburg"
+//! config = "n0.json"
+//! ```
+
+use fleet::plan::is_name;
+use fleet::Policy;
+use serde::Deserialize;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use trestlesill::config::Config;
+
+/// The version of the format.
+const VERSION: i64 = 1;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    version: i64,
+    #[serde(default)]
+    policy: Policy,
+    #[serde(default)]
+    instance: Vec<Instance>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Instance {
+    name: String,
+    zone: String,
+    /// Relative to the file.
+    config: PathBuf,
+}
+
+/// Reads a fleet's file with all that it names, as the agent's `apply` wants it.
+///
+/// # Errors
+/// All that is wrong, a line each.
+pub fn load(path: &Path) -> Result<Value, Vec<String>> {
+    let place = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| vec![format!("{place}: {e}")])?;
+    let file: File = toml::from_str(&text).map_err(|e| {
+        let line = e.span().map_or(1, |s| text[..s.start.min(text.len())].matches('\n').count() + 1);
+        vec![format!("{place}: line {line}: {}", e.message())]
+    })?;
+    let mut faults = Vec::new();
+    if file.version != VERSION {
+        return Err(vec![format!(
+            "{place}: version is {}; this build reads version {VERSION}",
+            file.version
+        )]);
+    }
+    if let Err(e) = file.policy.check() {
+        faults.push(format!("{place}: {e}"));
+    }
+    let mut instances = BTreeMap::new();
+    let mut listens = BTreeMap::new();
+    for one in file.instance {
+        let name = one.name;
+        if !is_name(&name) {
+            faults.push(format!("{place}: instance {name:?}: is no name"));
+            continue;
+        }
+        let config_path = path.parent().unwrap_or(Path::new(".")).join(&one.config);
+        let text = match std::fs::read_to_string(&config_path) {
+            Ok(text) => text,
+            Err(e) => {
+                faults.push(format!("{place}: instance {name}: {}: {e}", config_path.display()));
+                continue;
+            }
+        };
+        // The same check that the proxy makes at its start.
+        match Config::parse(&text, |_| None) {
+            Err(e) => faults.push(format!("{place}: instance {name}: {}: {e}", config_path.display())),
+            Ok(config) => {
+                if let Some(other) = listens.insert(config.listen, name.clone()) {
+                    faults.push(format!(
+                        "{place}: instances {other} and {name} both listen at {}",
+                        config.listen
+                    ));
+                }
+            }
+        }
+        let config: Value = serde_json::from_str(&text).unwrap_or_default();
+        if instances.insert(name.clone(), json!({"zone": one.zone, "config": config})).is_some() {
+            faults.push(format!("{place}: instance {name} is named twice"));
+        }
+    }
+    if faults.is_empty() {
+        Ok(json!({"instances": instances, "policy": file.policy}))
+    } else {
+        Err(faults)
+    }
+}
+
+/// Checks a file of any kind: a proxy's configuration (`.json`), a fleet's file, an operator's file.
+///
+/// # Errors
+/// All that is wrong, a line each.
+pub fn check(path: &Path) -> Result<&'static str, Vec<String>> {
+    let place = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| vec![format!("{place}: {e}")])?;
+    if path.extension().is_some_and(|e| e == "json") {
+        let checked = Config::parse(&text, |_| None);
+        return checked.map(|_| "a proxy's configuration").map_err(|e| vec![format!("{place}: {e}")]);
+    }
+    let table: Result<toml::Table, _> = text.parse();
+    if table.is_ok_and(|t| t.contains_key("instance") || t.contains_key("policy")) {
+        return load(path).map(|_| "a fleet's file");
+    }
+    match operator::Operator::load(path, "name") {
+        Ok(_) => Ok("an operator's file"),
+        Err(invalid) => {
+            let line = |f: &operator::Fault| {
+                let colon = if f.key.is_empty() { "" } else { ": " };
+                format!("{place}: {}{colon}{}", f.key, f.reason)
+            };
+            Err(invalid.faults.iter().map(line).collect())
+        }
+    }
+}
