--- a/crates/ctl/tests/fleet.rs
+++ b/crates/ctl/tests/fleet.rs
@@ -78,6 +78,29 @@
     assert_eq!(tool(at, &["rollout", "status"]).out.trim_end(), "done, 1 of 1 done");
     let done = tool(at, &["rollout", "pause"]);
     assert!(done.code == 1 && done.error.contains("no rollout is under way"), "{}", done.error);
+    // Who watches is told of changes as they come.
+    let mut watch = Command::new(env!("CARGO_BIN_EXE_trestlectl"))
+        .arg("--agent")
+        .arg(&socket)
+        .args(["--json", "watch"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("runs");
+    let mut told = std::io::BufRead::lines(std::io::BufReader::new(watch.stdout.take().expect("piped")));
+    let mut until = |wanted: &dyn Fn(&Value) -> bool| {
+        let line = told.by_ref().map(|l| l.expect("a line")).find(|l| {
+            let told: Value = serde_json::from_str(l).expect("JSON");
+            wanted(&told["fleet"])
+        });
+        assert!(line.is_some());
+    };
+    until(&|f| f["instances"]["n0"]["state"] == "ready");
+    assert_eq!(tool(at, &["drain", "n0"]).code, 0);
+    until(&|f| f["instances"]["n0"]["drained"] == true);
+    assert_eq!(tool(at, &["undrain", "n0"]).code, 0);
+    until(&|f| f["instances"]["n0"]["state"] == "ready");
+    watch.kill().expect("killed");
+    watch.wait().expect("waited");
     // Boxes and instances.
     agent.wait("its list is kept", Duration::from_secs(20), |a| {
         a.folder.0.join("instances/n0/known.json").exists()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -303,12 +303,12 @@
             // Danger: without a pause the loop would spin on a listener that it can't accept from.
             self.timers.set(self.now + ACCEPT_PAUSE, Due::Accept);
         }
-        self.clients.flush_all(self.now);
-        self.settle();
         for event in events.iter().filter(|e| e.token().0 & 3 == 3) {
             self.control.iter_mut().for_each(|c| c.woke(event.token().0 >> 2, self.now));
         }
         self.controlled();
+        self.clients.flush_all(self.now);
+        self.settle();
     }
 
     /// Works off all that sockets told and that follows from it.
--- a/crates/proxy/src/operate.rs
+++ b/crates/proxy/src/operate.rs
@@ -47,8 +47,7 @@
 
     /// Tells watchers what changed, and lets go of controllers that take too long.
     pub(crate) fn sweep_control(&mut self) {
-        let usable = self.upstreams.counts().1 > 0;
-        if usable && !self.started {
+        if !self.started && self.upstreams.counts().1 > 0 {
             self.started = true;
             self.changes += 1;
         }
@@ -132,18 +131,21 @@
     }
 
     fn undrain(&mut self) -> Result<(), Error> {
-        if self.draining.is_some() {
-            if self.closed {
-                // Danger: were this noted before, a restart would serve where the tool said that it can't.
-                self.clients.listen(self.poll.registry(), LISTENER).map_err(|e| {
-                    let message = format!("{} can't be listened at: {e}; still drained", self.config.listen);
-                    Error::new(Code::Storage, message)
-                })?;
+        if self.draining.is_none() {
+            return Ok(());
+        }
+        let before = self.kept.state.clone();
+        self.kept.store(State { drained: false, ..before.clone() })?;
+        if self.closed {
+            if let Err(e) = self.clients.listen(self.poll.registry(), LISTENER) {
+                // Danger: a restart would serve where the tool was told that it stays drained.
+                self.kept.store(before)?;
+                let message = format!("{} can't be listened at: {e}; still drained", self.config.listen);
+                return Err(Error::new(Code::Storage, message));
             }
-            (self.draining, self.closed) = (None, false);
-            self.changes += 1;
-            self.kept.store(State { drained: false, ..self.kept.state.clone() })?;
         }
+        (self.draining, self.closed) = (None, false);
+        self.changes += 1;
         Ok(())
     }
 
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -205,6 +205,15 @@
     assert!(std::net::TcpStream::connect(operated.proxy.address).is_err());
     assert_eq!(control.ok(json!({"op": "undrain"}))["phase"], "ready");
     operated.proxy.is_well();
+    // While another process has its address it stays drained, and says so.
+    control.ok(json!({"op": "drain"}));
+    control.until(|s| s["phase"] == "stopped");
+    let taken = std::net::TcpListener::bind(operated.proxy.address).expect("its address");
+    assert_eq!(control.refused(json!({"op": "undrain"})), "storage");
+    assert_eq!(control.ok(json!({"op": "status"}))["phase"], "stopped");
+    assert!(std::fs::read_to_string(&operated.state).expect("a state").contains("\"drained\":true"));
+    drop(taken);
+    assert_eq!(control.ok(json!({"op": "undrain"}))["phase"], "ready");
     // An undrain within the window keeps the listener that there is.
     control.ok(json!({"op": "drain"}));
     control.ok(json!({"op": "undrain"}));
@@ -372,3 +381,46 @@
     let told = operated.control().ok(json!({"op": "list"}));
     assert_eq!(told["known"], text["known"]);
 }
+
+/// Says what another user finds at the socket that SOCKET names. Run by the test below, as that user.
+#[test]
+#[ignore = "run by another test, as another user"]
+fn as_another_user() {
+    let Ok(socket) = std::env::var("SOCKET") else { return };
+    let mut control = Controller::connect(std::path::Path::new(&socket));
+    control.send(b"{\"v\":1,\"id\":\"a\",\"op\":\"status\"}\n");
+    println!("told: {:?}", control.line());
+}
+
+#[test]
+fn another_user_is_turned_away_unless_the_operator_names_it() {
+    use std::os::unix::fs::MetadataExt;
+    use std::os::unix::process::CommandExt;
+    // Only root can become another user; the rest of this file has the socket's mode.
+    if std::fs::metadata("/proc/self").expect("proc").uid() != 0 {
+        println!("not run as root: nothing to see");
+        return;
+    }
+    let node = Server::start();
+    // Where that user can get at it.
+    let binary = scratch("test-binary");
+    std::fs::copy(std::env::current_exe().expect("a path"), &binary).expect("copied");
+    std::fs::set_permissions(&binary, std::fs::Permissions::from_mode(0o755)).expect("set");
+    for (allowed, told) in [("[]", "told: None"), ("[65534]", "told: Some(")] {
+        let socket = scratch("control.sock");
+        let operator = format!("version = 1\n[control]\nsocket = {socket:?}\nallow_uids = {allowed}\n");
+        let proxy = Proxy::operated(&node, &operator, |_| {});
+        Controller::connect(&socket).ok(json!({"op": "status"}));
+        std::fs::set_permissions(&socket, std::fs::Permissions::from_mode(0o666)).expect("set");
+        let out = Command::new(&binary)
+            .args(["--exact", "as_another_user", "--ignored", "--nocapture"])
+            .env("SOCKET", &socket)
+            .uid(65_534)
+            .output()
+            .expect("runs");
+        let said = String::from_utf8_lossy(&out.stdout).into_owned();
+        assert!(said.contains(told), "{allowed}: {said} {}", String::from_utf8_lossy(&out.stderr));
+        drop(proxy);
+    }
+    std::fs::remove_file(&binary).expect("removed");
+}
