Tests: the bound on controllers can fail, and an instance that is starting

Need: with the bound on the control endpoint's connections taken away, no test failed. Now the rude controllers' test sees that all but eight of 400 are closed, and that the proxy holds few descriptors; with the bound broken it fails. The phase before the first box that takes work is held by a test of its own.

--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -105,6 +105,29 @@
     assert_eq!(control.refused(json!({"op": "boxes", "limit": 257})), "bad-request");
 }
 
+#[test]
+fn an_instance_is_starting_until_it_knows_a_box_that_takes_work() {
+    let nodes = Server::many(1);
+    let discovery = Server::start();
+    let operated = Operated::with(&nodes, |c| {
+        c["known"] = json!(null);
+        c["discovery"] = json!(discovery.addresses[0].to_string());
+        c["settings"]["discovery"] = json!("subscribe");
+    });
+    let mut control = operated.control();
+    let status = control.ok(json!({"op": "status"}));
+    assert_eq!((&status["phase"], &status["list"]["version"]), (&json!("starting"), &json!(null)));
+    assert_eq!(control.ok(json!({"op": "list"}))["known"], json!(null));
+    for (version, health) in [(1, "draining"), (2, "up")] {
+        let mut call = discovery.accept();
+        call.request();
+        call.list(&list(version, true, &[host("s-0", nodes.addresses[0], health)]));
+        let status = control.until(|s| s["list"]["version"] == version);
+        let ready = status["phase"] == "ready";
+        assert_eq!(ready, health == "up", "{status}");
+    }
+}
+
 #[test]
 fn a_box_is_used_only_where_discovery_and_operators_both_say_so() {
     let nodes = Server::many(2);
@@ -299,6 +322,12 @@
     }
 }
 
+/// The other side has not closed it.
+fn is_open(mut stream: &UnixStream) -> bool {
+    stream.set_nonblocking(true).expect("set");
+    std::io::Read::read(&mut stream, &mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
 #[test]
 fn rude_controllers_get_an_error_or_a_close_and_cost_the_service_nothing() {
     let node = Server::start();
@@ -308,6 +337,17 @@
     let silent: Vec<UnixStream> =
         (0..400).map(|_| UnixStream::connect(&operated.socket).expect("connected")).collect();
     operated.control().ok(json!({"op": "status"}));
+    // Those that they displaced are closed: the proxy has eight, and what it needs for itself.
+    let descriptors = || {
+        let folder = format!("/proc/{}/fd", operated.proxy.child.id());
+        std::fs::read_dir(folder).expect("a process").count()
+    };
+    let begun = Instant::now();
+    while silent.iter().filter(|s| is_open(s)).count() > 8 {
+        assert!(begun.elapsed() < PATIENCE, "{} descriptors", descriptors());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert!(descriptors() < 40, "{} descriptors", descriptors());
     // Half a frame, and its end never.
     let mut half = operated.control();
     half.send(br#"{"v":1,"id":"a","op":"#);
