--- a/crates/agent/benches/fleet.rs
+++ b/crates/agent/benches/fleet.rs
@@ -12,7 +12,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use testkit::agent::Agent;
-use testkit::process::{free_port, Folder, Instance};
+use testkit::process::{Folder, Instance};
+use testkit::scripted::nobody;
 use testkit::world::{Asked, End, Load, Target, World, WorldConfig};
 
 const LONG: Duration = Duration::from_secs(120);
@@ -195,7 +196,7 @@
             let socket = folder.0.join("c.sock");
             let operator = format!("version = 1\n[control]\nsocket = {socket:?}\n");
             let operator = (kind != "without").then_some(operator.as_str());
-            let config = world.proxy_config(0, free_port().expect("a port"));
+            let config = world.proxy_config(0, nobody());
             let program = testkit::program("trestlesill");
             let mut proxy = Instance::start(&program, &folder.0, &config, operator).expect("started");
             proxy.ready(LONG).expect("ready");
--- a/crates/agent/src/host.rs
+++ b/crates/agent/src/host.rs
@@ -342,7 +342,6 @@
                 let report = Report {
                     ready: status.phase == Phase::Ready || (leaving && status.list.usable > 0),
                     drained: leaving,
-                    stopped: status.phase == Phase::Stopped,
                     generation: status.generation,
                     revision: status.revision,
                 };
--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -37,11 +37,9 @@
         let deadline = Instant::now() + SILENT;
         let mut silent = false;
         let stream = loop {
-            tokio::select! {
-                stream = UnixStream::connect(&path) => match stream {
-                    Ok(stream) => break stream,
-                    Err(_) => sleep(PAUSE).await,
-                },
+            match UnixStream::connect(&path).await {
+                Ok(stream) => break stream,
+                Err(_) => sleep(PAUSE).await,
             }
             // What is asked meanwhile is not answered: its sender is dropped.
             while let Ok(ask) = asks.try_recv() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,10 +28,8 @@
 pub struct Report {
     /// It knows boxes and serves, or does so when it is not drained.
     pub ready: bool,
-    /// It is drained, and whether its last client has left.
+    /// It is drained.
     pub drained: bool,
-    /// Its last client has left.
-    pub stopped: bool,
     /// The configuration in force.
     pub generation: u64,
     /// The set of drained boxes in force.
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -202,7 +202,7 @@
     pub targets: Vec<(String, (u64, u64))>,
     /// What those were that have been begun.
     pub before: BTreeMap<String, (u64, u64)>,
-    /// Begun and not yet over, and since when each has been as wanted.
+    /// Begun and not yet over.
     pub current: BTreeSet<String>,
     /// Done.
     pub done: BTreeSet<String>,
--- a/crates/proxy/tests/world.rs
+++ b/crates/proxy/tests/world.rs
@@ -1,8 +1,8 @@
 //! Proxies in a whole world that goes wrong: by the records of its stand-ins, the four rules hold.
 
 use std::time::Duration;
-use testkit::process::{free_port, Folder, Instance};
-use testkit::scripted::PATIENCE;
+use testkit::process::{Folder, Instance};
+use testkit::scripted::{nobody, PATIENCE};
 use testkit::world::{End, Fault, Health, Load, Mode, Script, Target, World, WorldConfig};
 
 /// The time that a proxy may still send to a box after it was told; 50 ms are the sockets'.
@@ -14,12 +14,13 @@
     _folder: Folder,
 }
 
-fn start(seed: u64, boxes: usize, proxies: usize) -> Setting {
-    let world = World::start(WorldConfig::new(seed, boxes, proxies));
+fn start(config: WorldConfig) -> Setting {
+    let proxies = config.proxies;
+    let world = World::start(config);
     let folder = Folder::new("world").expect("a folder");
     let program = testkit::program("trestlesill");
     let start = |i| {
-        let config = world.proxy_config(i, free_port().expect("a port"));
+        let config = world.proxy_config(i, nobody());
         let mut proxy = Instance::start(&program, &folder.0, &config, None).expect("started");
         proxy.ready(PATIENCE).expect("ready");
         proxy
@@ -68,7 +69,7 @@
 
 #[test]
 fn a_calm_world_is_served_whole() {
-    let setting = start(3, 6, 2);
+    let setting = start(WorldConfig::new(3, 6, 2));
     let load = setting.world.load(Load::new(150.0, setting.front()));
     std::thread::sleep(Duration::from_secs(2));
     let (served, asked) = setting.rules_hold(&load);
@@ -79,7 +80,7 @@
 #[test]
 fn the_rules_hold_whatever_goes_wrong_with_boxes_zones_and_discovery() {
     for seed in [11, 12, 13] {
-        let setting = start(seed, 9, 3);
+        let setting = start(WorldConfig::new(seed, 9, 3));
         let span = Duration::from_secs(4);
         let script = Script::random(seed, 7, 9, 3, span);
         println!("seed {seed}: {script:?}");
@@ -95,18 +96,7 @@
 fn a_drained_box_gets_nothing_though_lists_come_late_and_fail() {
     let mut config = WorldConfig::new(5, 6, 2);
     config.lag = Duration::from_millis(700);
-    let world = World::start(config);
-    let folder = Folder::new("world").expect("a folder");
-    let program = testkit::program("trestlesill");
-    let proxies: Vec<Instance> = (0..2)
-        .map(|i| {
-            let config = world.proxy_config(i, free_port().expect("a port"));
-            let mut proxy = Instance::start(&program, &folder.0, &config, None).expect("started");
-            proxy.ready(PATIENCE).expect("ready");
-            proxy
-        })
-        .collect();
-    let setting = Setting { world, proxies, _folder: folder };
+    let setting = start(config);
     let ms = Duration::from_millis;
     let script = Script::new().for_good(ms(300), Fault::Drain(0)).for_good(ms(300), Fault::Drain(3)).then(
         ms(1_400),
--- a/crates/testkit/src/agent.rs
+++ b/crates/testkit/src/agent.rs
@@ -1,7 +1,7 @@
 //! An agent with a fleet in a world, and a plain client of its API.
 
-use crate::process::{free_port, Folder};
-use crate::scripted::PATIENCE;
+use crate::process::Folder;
+use crate::scripted::{nobody, PATIENCE};
 use crate::world::{Target, World};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -192,8 +192,7 @@
         let instances: BTreeMap<String, Value> = (0..proxies)
             .map(|i| {
                 let name = format!("n{i}");
-                let address =
-                    self.addresses.entry(name.clone()).or_insert_with(|| free_port().expect("a port"));
+                let address = self.addresses.entry(name.clone()).or_insert_with(nobody);
                 let mut config = world.proxy_config(i, *address);
                 edit(&mut config);
                 let zone = config["settings"]["localities"][world.zone_of(i)].clone();
--- a/crates/testkit/src/world/boxes.rs
+++ b/crates/testkit/src/world/boxes.rs
@@ -3,11 +3,11 @@
 
 use super::network::Network;
 use super::origin::{Cache, Origin};
-use super::{lock, Clock};
+use super::{listeners, lock, Clock};
 use resp::{Command, CommandParser, Room, MAX_VALUE};
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -139,15 +139,9 @@
         network: Arc<Network>,
         seed: u64,
     ) -> Self {
-        let listeners: Vec<TcpListener> = (0..network.zones())
-            .map(|_| {
-                let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a listener");
-                listener.set_nonblocking(true).expect("set");
-                listener
-            })
-            .collect();
+        let (listeners, addresses) = listeners(network.zones());
         CacheBox {
-            addresses: listeners.iter().map(|l| l.local_addr().expect("an address")).collect(),
+            addresses,
             listeners: Mutex::new(listeners),
             cores: Semaphore::new(config.cores),
             clock,
--- a/crates/testkit/src/world/discovery.rs
+++ b/crates/testkit/src/world/discovery.rs
@@ -2,9 +2,9 @@
 //! that the record says which one was told what.
 
 use super::boxes::CacheBox;
-use super::{lock, Clock};
+use super::{listeners, lock, Clock};
 use serde_json::{json, Value};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -86,18 +86,12 @@
 
 impl Discovery {
     pub(super) fn new(clock: Clock, proxies: usize, zones: Vec<String>, lag: Duration) -> Self {
-        let listeners: Vec<TcpListener> = (0..proxies.max(1))
-            .map(|_| {
-                let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a listener");
-                listener.set_nonblocking(true).expect("set");
-                listener
-            })
-            .collect();
+        let (listeners, addresses) = listeners(proxies.max(1));
         Discovery {
             clock,
             zones,
             lag,
-            addresses: listeners.iter().map(|l| l.local_addr().expect("an address")).collect(),
+            addresses,
             listeners: Mutex::new(listeners),
             entries: Mutex::default(),
             version: watch::Sender::new(1),
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -22,7 +22,7 @@
 pub use origin::Origin;
 
 use serde_json::{json, Value};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
@@ -34,6 +34,17 @@
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
+/// So many listeners for the world's thread, and their addresses.
+fn listeners(count: usize) -> (Vec<TcpListener>, Vec<SocketAddr>) {
+    let one = |_| {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a listener");
+        listener.set_nonblocking(true).expect("set");
+        let address = listener.local_addr().expect("an address");
+        (listener, address)
+    };
+    (0..count).map(one).unzip()
+}
+
 /// The time since a world's start.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
