Operators' calls and figures, and the platform's listening socket taken over

Change: NODE_LISTEN_FD is taken over with the listenfd library, which keeps this package free of unsafe code. front/admin answers 'ready' and 'show-stat' by line, bounded in places, bytes and time; figures is an observer that counts answers by class, and what stands now is read when asked for, so it can't be old. Commands that find no room are told to the observers like all others instead of being added up aside.

Ruled out: a listener that stays open too short at SIGTERM; the old process accepts for 0.45 s as before, and the new one beside it.

--- a/crates/calicosaddle/src/brain.rs
+++ b/crates/calicosaddle/src/brain.rs
@@ -457,6 +457,12 @@
         self.ranks(s) && s.suspect_until <= now && !cut
     }
 
+    /// How many listed servers get nothing new now.
+    pub fn avoided(&self, now: Nanos) -> usize {
+        let listed = |s: &&Server| s.entry.state != State::Gone && !self.is_origin(s);
+        self.servers.iter().filter(listed).filter(|s| !self.usable(now, s)).count()
+    }
+
     fn failed(&mut self, now: Nanos, server: ServerId, weight: u32) {
         let jitter = 0.75 + 0.5 * self.chance();
         let pause = self.live / self.rate(now).max(0.01);
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -127,6 +127,8 @@
     rivals: usize,
     all: Slab<Connection>,
     serial: u64,
+    /// Attempts written whole.
+    written: u64,
     /// What a connection is greeted with, where the operator allows RESP3.
     hello: Option<Vec<u8>>,
     per_node: usize,
@@ -158,6 +160,7 @@
             rivals: 0,
             all: Slab::new(),
             serial: 0,
+            written: 0,
             hello,
             per_node: 1,
             limit,
@@ -191,6 +194,11 @@
         }
     }
 
+    /// Attempts written whole since the start.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
     /// How many nodes are listed, how many take work, and how many connections and attempts there are.
     pub fn counts(&self) -> (usize, usize, usize, usize) {
         let listed = self.nodes.values().filter(|n| n.entry.state != State::Gone).count();
@@ -803,6 +811,7 @@
                             w.job.query.gone_over.borrow_mut().push((c.node, c.link.over));
                         }
                         c.wrote = now;
+                        self.written += 1;
                         c.sent.push_back(Some((w.job.id, w.job.attempt)));
                         c.live += 1;
                         c.writing = None;
--- a/crates/proxy/src/front/clients.rs
+++ b/crates/proxy/src/front/clients.rs
@@ -52,6 +52,8 @@
 pub enum News {
     /// A request is to be answered.
     Query(RequestId, Place, Rc<Query>),
+    /// A request of this class was refused before it became one: there was no room for it.
+    TurnedAway(u32),
     /// The client ended its sending and has this request open. It may still read: what is under way may be
     /// answered, nothing new may be sent.
     Left(RequestId),
@@ -121,11 +123,12 @@
     listener: Option<TcpListener>,
     all: Slab<Client>,
     address: SocketAddr,
+    /// The platform's socket at this address, where it keeps one. Other processes may accept from it as well.
+    inherited: Option<std::net::TcpListener>,
     users: Users,
     /// Connections that there ever were.
     serial: u64,
-    /// Commands refused here, before the module saw them; and wrong passwords.
-    turned_away: u64,
+    /// Wrong passwords that clients gave.
     wrong_passwords: u64,
     next_id: RequestId,
     limit: usize,
@@ -145,15 +148,21 @@
 
 impl Clients {
     /// None yet; at most `limit` connections, `memory` bytes each for long values of commands and for answers
-    /// not yet read. They will come to `address` once it is listened at.
-    pub fn new(address: SocketAddr, limit: usize, memory: usize, users: Users) -> Self {
+    /// not yet read. They will come to `address` once it is listened at, there or at the platform's socket.
+    pub fn new(
+        address: SocketAddr,
+        inherited: Option<std::net::TcpListener>,
+        limit: usize,
+        memory: usize,
+        users: Users,
+    ) -> Self {
         Clients {
             listener: None,
             all: Slab::new(),
             address,
+            inherited,
             users,
             serial: 0,
-            turned_away: 0,
             wrong_passwords: 0,
             next_id: 1,
             limit,
@@ -170,14 +179,10 @@
 
     /// Listens, for the first time or again after [`Clients::stop`].
     pub fn listen(&mut self, registry: &Registry, token: Token) -> io::Result<()> {
-        let domain = socket2::Domain::for_address(self.address);
-        let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
-        // Danger: after a crash old connections keep the address for a minute.
-        socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&self.address.into())?;
-        socket.listen(1024)?;
-        let mut listener = TcpListener::from_std(socket.into());
+        let mut listener = match &self.inherited {
+            Some(socket) => TcpListener::from_std(socket.try_clone()?),
+            None => super::bind(self.address)?,
+        };
         registry.register(&mut listener, token, Interest::READABLE)?;
         (self.listener, self.stopping) = (Some(listener), false);
         Ok(())
@@ -188,11 +193,6 @@
         self.all.len()
     }
 
-    /// How many commands were refused before they became requests.
-    pub fn turned_away(&self) -> u64 {
-        self.turned_away
-    }
-
     /// How many wrong passwords clients gave.
     pub fn wrong_passwords(&self) -> u64 {
         self.wrong_passwords
@@ -388,16 +388,16 @@
             self.reply_next(key, &answer.bytes);
             return;
         }
-        // Untouched, it may always be refused.
-        if !command.is_whole() || client.slots.len() >= MAX_PIPELINE {
-            self.turned_away += 1;
-            self.reply_next(key, BUSY);
-            return;
-        }
+        let whole = command.is_whole();
         let query = Query::read(command, config).map_err(Cow::from).and_then(|query| {
             client.session.may_ask_for(query.tenant, &self.users).map_err(Cow::from).map(|()| query)
         });
         match query {
+            // Untouched, it may always be refused.
+            Ok(query) if !whole || client.slots.len() >= MAX_PIPELINE => {
+                self.news.push_back(News::TurnedAway(query.class));
+                self.reply_next(key, BUSY);
+            }
             Ok(query) => {
                 let place = Place { client: key, number: client.first + client.slots.len() as u64 };
                 let id = self.next_id;
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -1,11 +1,28 @@
-//! The ways into a proxy: clients, and controllers.
+//! The ways into a proxy: clients, controllers, and operators that call.
 
+pub mod admin;
 pub mod clients;
 pub mod control;
 mod operate;
 
+use mio::net::TcpListener;
+use std::io;
+use std::net::SocketAddr;
+
 use session::{Password, User, Users};
 
+/// A socket that listens at an address.
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let domain = socket2::Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+    // Danger: after a crash old connections keep the address for a minute.
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1024)?;
+    Ok(TcpListener::from_std(socket.into()))
+}
+
 /// The users of the operator's file, their tenants by number.
 ///
 /// # Errors
--- a/crates/proxy/src/front/operate.rs
+++ b/crates/proxy/src/front/operate.rs
@@ -1,7 +1,9 @@
 //! What controllers ask of a proxy, carried out: its state told, boxes and the proxy itself drained, another
 //! configuration taken over. All that bears on where requests go reaches the module as events.
 
+use super::admin::Call;
 use super::control::{interval, needs_life};
+use crate::figures::Now;
 use crate::path::Gates;
 use crate::platform::config::Config;
 use crate::turn::Source;
@@ -192,13 +194,34 @@
         }
     }
 
+    /// Answers an operator's call.
+    pub(crate) fn called(&mut self, key: usize) {
+        let Some(call) = self.admin.as_mut().and_then(|a| a.woke(key, &mut self.buffer)) else { return };
+        let answer = match call {
+            // Before there is a listener, or once it is closed, clients are not taken.
+            Ok(Call::Ready) if self.closed || self.stopping.is_some() => "error not ready\n".to_owned(),
+            Ok(Call::Ready) => "done\n".to_owned(),
+            Ok(Call::ShowStat) => self.figures() + "end\n",
+            Err(what) => format!("error {what}\n"),
+        };
+        self.admin.iter_mut().for_each(|a| a.answer(key, &answer));
+    }
+
+    fn figures(&self) -> String {
+        let now = Now {
+            backend_calls: self.boxes.written(),
+            inflight: self.requests.unanswered(),
+            hosts_listed: self.boxes.counts().0,
+            hosts_down: self.brain.avoided(self.turn.now),
+        };
+        self.observers.figures.write(&self.config.classes, &now)
+    }
+
     pub(crate) fn status(&self) -> Status {
         let (version, heard) = self.discovery.known();
         let since = |at: Nanos| self.turn.now.saturating_sub(at) / MS;
         let (boxes, usable, connections, attempts) = self.boxes.counts();
         let mut counters = self.observers.counters;
-        counters.accepted += self.clients.turned_away();
-        counters.refused += self.clients.turned_away();
         counters.wrong_passwords = self.clients.wrong_passwords();
         Status {
             name: self.config.name.clone(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 //! no room for and the module has never seen.
 
 mod boxes;
+mod figures;
 mod front;
 mod life;
 mod path;
@@ -20,12 +21,14 @@
 use calicosaddle::api::*;
 use calicosaddle::Brain;
 use config::Config;
+use front::admin::{self, Admin};
 use front::clients::Clients;
 use front::control::{Endpoint, Kept};
 use mio::event::Event as Woken;
 use mio::Events;
 use path::{Gates, Observers, Told};
 use platform::discovery::{self, Answer, Discovery};
+use platform::inherited;
 use platform::signals::Signals;
 use request::Table;
 use std::collections::VecDeque;
@@ -68,6 +71,7 @@
     /// A controller drained this instance then; nothing while it serves.
     draining: Option<Nanos>,
     closed: bool,
+    admin: Option<Admin>,
     control: Option<Endpoint>,
     kept: Kept,
     /// Counts the changes that a watching controller is told of.
@@ -88,21 +92,24 @@
         mut config: Config,
         operator: &operator::Operator,
     ) -> Result<Self, Box<dyn std::error::Error>> {
+        let inherited = config.inherited.as_deref().map(inherited::take).transpose()?;
         let turn = Turn::new()?;
         let (registry, now) = (turn.registry(), turn.now);
         let signals = Signals::listen(registry, Source::Terminate.token(), Source::Hangup.token())?;
         // Half of the descriptors for clients, half for cache nodes: a request needs one of each.
-        let reserved = RESERVED + operator.control.as_ref().map_or(0, |c| c.max_connections + 1);
+        let controllers = operator.control.as_ref().map_or(0, |c| c.max_connections + 1);
+        let reserved = RESERVED + controllers + config.admin.map_or(0, |_| admin::PLACES + 1);
         let half = (config.sockets.saturating_sub(reserved) / 2).max(1);
         let memory = ((config.memory_mb << 20) / MEMORY_PART) as usize;
         let users = front::users(&operator.clients, &config.tenants)?;
         let hello = boxes::hello(&operator.boxes)?;
         let kept = Kept::load(operator.control.as_ref().and_then(|c| c.state_file.clone()))?;
-        let mut clients = Clients::new(config.listen, half, memory, users);
+        let mut clients = Clients::new(config.listen, inherited, half, memory, users);
         let drained = kept.state.drained;
         if !drained {
             clients.listen(registry, Source::Listener.token())?;
         }
+        let admin = config.admin.map(|a| Admin::open(a, registry, Source::Admin.token())).transpose()?;
         let control = operator.control.as_ref();
         let control = control.map(|c| Endpoint::open(c, registry, Source::Control.token())).transpose()?;
         let known = config.known.take();
@@ -123,6 +130,7 @@
             stopping: None,
             draining: drained.then_some(now),
             closed: drained,
+            admin,
             control,
             kept,
             changes: 0,
@@ -158,7 +166,8 @@
     pub fn run(mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(1024);
         while !self.done() {
-            let more = self.clients.has_more() || self.boxes.has_more();
+            let calls = self.admin.as_ref().is_some_and(Admin::has_more);
+            let more = self.clients.has_more() || self.boxes.has_more() || calls;
             let work = self.control.as_ref().and_then(Endpoint::work);
             if self.turn.wait(&mut events, work, more)? {
                 self.turn(&events);
@@ -194,12 +203,17 @@
                 Source::Listener => self.clients.knocked(),
                 Source::Terminate => self.signalled(),
                 Source::Hangup => self.reload(),
+                Source::Admin => self.admin.iter_mut().for_each(Admin::knocked),
                 Source::Control => self.control.iter_mut().for_each(Endpoint::knocked),
                 Source::Discovery(_) => {
                     let answer = self.discovery.ready(self.turn.registry(), event.token(), self.turn.now);
                     self.discovered(answer);
                 }
-                Source::Client(_) | Source::Box(_) | Source::Rival(_) | Source::Controller(_) => continue,
+                Source::Client(_)
+                | Source::Box(_)
+                | Source::Rival(_)
+                | Source::Controller(_)
+                | Source::Caller(_) => continue,
             }
             self.settle();
         }
@@ -225,6 +239,13 @@
             let Source::Controller(key) = Source::of(event) else { continue };
             self.control.iter_mut().for_each(|c| c.woke(key, self.turn.now));
         }
+        for event in events {
+            let Source::Caller(key) = Source::of(event) else { continue };
+            self.called(key);
+        }
+        if let Some(admin) = &mut self.admin {
+            admin.accept(self.turn.registry(), self.turn.now, |key| Source::Caller(key).token());
+        }
         self.controlled();
         self.clients.flush_all(self.turn.now);
         self.settle();
@@ -322,6 +343,7 @@
                     let answer = self.discovery.sweep(self.turn.now);
                     self.discovered(answer);
                     self.stop();
+                    self.admin.iter_mut().for_each(|a| a.sweep(self.turn.now));
                     self.sweep_control();
                 }
             }
--- a/crates/proxy/src/life.rs
+++ b/crates/proxy/src/life.rs
@@ -16,6 +16,10 @@
     pub(crate) fn client_news(&mut self, news: clients::News) {
         match news {
             clients::News::Query(id, place, query) => self.arrived(id, place, query),
+            clients::News::TurnedAway(class) => {
+                self.observers.tell(Told::Arrived);
+                self.observers.tell(Told::Answered(Final::Refused, class));
+            }
             clients::News::Left(id) => {
                 // Danger: a client that only ended its sending waits for its answer, and one that left wants
                 // nothing more to be done. An attempt that is out is let finish, no other follows it.
@@ -37,12 +41,13 @@
 
     fn arrived(&mut self, id: RequestId, place: Place, query: Rc<Query>) {
         self.observers.tell(Told::Arrived);
+        let class = query.class;
         if self.gates.judge(&query, self.requests.len()) == Verdict::Refuse {
-            self.give(place, Answer::Busy(0), Final::Refused);
+            self.give(place, class, Answer::Busy(0), Final::Refused);
             return;
         }
         match self.requests.arrive(id, place, query, self.turn.since, self.turn.now) {
-            None => self.give(place, Answer::IdInUse, Final::Failed),
+            None => self.give(place, class, Answer::IdInUse, Final::Failed),
             Some((request, until)) => {
                 self.turn.timers.set(until, Due::Deadline(id));
                 self.events.push_back(Event::Arrival(request));
@@ -196,13 +201,13 @@
 
     /// Gives the one final answer.
     fn answer(&mut self, id: RequestId, answer: Answer<'_>, how: Final) {
-        let Some(place) = self.requests.answer(id) else { return };
-        self.give(place, answer, how);
+        let Some((place, class)) = self.requests.answer(id) else { return };
+        self.give(place, class, answer, how);
         self.requests.retire(id);
     }
 
-    fn give(&mut self, place: Place, answer: Answer<'_>, how: Final) {
-        self.observers.tell(Told::Answered(how));
+    fn give(&mut self, place: Place, class: u32, answer: Answer<'_>, how: Final) {
+        self.observers.tell(Told::Answered(how, class));
         self.clients.answer(place, &answer);
     }
 }
--- a/crates/proxy/src/path.rs
+++ b/crates/proxy/src/path.rs
@@ -2,6 +2,7 @@
 //! that are told what became of it. Each is listed here once, in the order in which it acts; one that is
 //! switched off is `None` and costs a branch.
 
+use crate::figures::Figures;
 use crate::request::Query;
 use calicosaddle::api::ServerId;
 use control::message::Counters;
@@ -77,8 +78,8 @@
     Arrived,
     /// An attempt was begun.
     Attempt,
-    /// The final answer was given.
-    Answered(Final),
+    /// The final answer was given to a request of this class.
+    Answered(Final, u32),
     /// The client is gone, and nothing can be answered.
     Abandoned,
     /// Discovery told a list, whole or changes only.
@@ -99,9 +100,9 @@
         *match told {
             Told::Arrived => &mut self.accepted,
             Told::Attempt => &mut self.attempts,
-            Told::Answered(Final::Served) => &mut self.served,
-            Told::Answered(Final::Refused) => &mut self.refused,
-            Told::Answered(Final::Failed) => &mut self.failed,
+            Told::Answered(Final::Served, _) => &mut self.served,
+            Told::Answered(Final::Refused, _) => &mut self.refused,
+            Told::Answered(Final::Failed, _) => &mut self.failed,
             Told::Abandoned => &mut self.abandoned,
             Told::List => &mut self.lists,
             Told::Push(..) => &mut self.pushes,
@@ -120,6 +121,8 @@
 pub struct Observers {
     /// Counts, for controllers.
     pub counters: Counters,
+    /// Counts by class, for operators.
+    pub figures: Figures,
     /// Those that want to know of pushes.
     pub subscribers: Vec<Box<dyn Subscriber>>,
 }
@@ -128,6 +131,7 @@
     /// Tells them all.
     pub fn tell(&mut self, told: Told<'_>) {
         self.counters.tell(&told);
+        self.figures.tell(&told);
         if let Told::Push(server, told) = told {
             self.subscribers.iter_mut().for_each(|s| s.pushed(server, told));
         }
--- a/crates/proxy/src/platform/config.rs
+++ b/crates/proxy/src/platform/config.rs
@@ -1,6 +1,7 @@
 //! What a proxy is told at its start: NODE_CONFIG, and the variables that repeat parts of it.
 
 use super::discovery::{self, Names, News};
+use super::inherited;
 use calicosaddle::api::{Nanos, Settings};
 
 use serde_json::Value;
@@ -44,6 +45,10 @@
     pub generation: u64,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
+    /// The descriptor of the listening socket for clients, where the platform keeps that.
+    pub inherited: Option<String>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// The module's source of chance.
@@ -90,6 +95,11 @@
             let told = told.ok_or(ConfigError::Missing(name))?;
             told.parse().map_err(|_| ConfigError::Bad(format!("{key} is no address: {told:?}")))
         };
+        // The variable is this process's own; the file may have been replaced for another one.
+        let admin = variable("NODE_ADMIN_ADDR").or_else(|| json["admin_addr"].as_str().map(str::to_owned));
+        let admin = admin.filter(|a| !a.is_empty()).map(|told| {
+            told.parse().map_err(|_| ConfigError::Bad(format!("admin_addr is no address: {told:?}")))
+        });
         let Some(told) = json["settings"].as_object() else {
             return Err(ConfigError::Bad("settings are missing".into()));
         };
@@ -119,6 +129,8 @@
             name: name.unwrap_or_default(),
             generation: json["generation"].as_u64().unwrap_or(0),
             listen: address("listen", "NODE_LISTEN")?,
+            admin: admin.transpose()?,
+            inherited: variable(inherited::VARIABLE).filter(|d| !d.is_empty()),
             discovery: address("discovery", "NODE_DISCOVERY")?,
             seed: seed.ok_or_else(|| ConfigError::Bad("seed is missing or not hex".into()))?,
             memory_mb: limit("memory_mb", 128),
@@ -153,6 +165,7 @@
         let restart = list(&[
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
+            ("admin_addr", self.admin != new.admin),
             ("limits.memory_mb", self.memory_mb != new.memory_mb),
             ("limits.sockets", self.sockets != new.sockets),
             // Requests are under way by the number of their class and the rules that it has.
--- a/crates/proxy/src/platform/mod.rs
+++ b/crates/proxy/src/platform/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod config;
 pub mod discovery;
+pub mod inherited;
 pub mod signals;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -314,11 +314,12 @@
         self.open.get(&id).is_some_and(|o| !o.answered && o.left && o.out.is_empty())
     }
 
-    /// Where its answer goes, once: a request that is answered, or whose client is gone, has no place.
-    pub fn answer(&mut self, id: RequestId) -> Option<Place> {
+    /// Where its answer goes and what its class is, once: a request that is answered, or whose client is gone,
+    /// has no place.
+    pub fn answer(&mut self, id: RequestId) -> Option<(Place, u32)> {
         let open = self.open.get_mut(&id).filter(|o| !o.answered)?;
         open.answered = true;
-        Some(open.place)
+        Some((open.place, open.query.class))
     }
 
     /// Forgets a request that is answered and has no attempt out.
@@ -356,7 +357,7 @@
         assert_eq!((first.number, first.over), (0, false));
         table.carried(1, 0, 5);
         assert_eq!(table.attempt(1, 0).and_then(|a| a.connection), Some(5));
-        assert_eq!(table.answer(1), Some(place));
+        assert_eq!(table.answer(1), Some((place, 0)));
         assert_eq!(table.answer(1), None);
         assert!(!table.leave(1) && !table.waits(1) && !table.stranded(1));
         assert!(table.begin(1, 7, 2, MS).is_some_and(|b| b.over));
--- a/crates/proxy/src/turn.rs
+++ b/crates/proxy/src/turn.rs
@@ -23,6 +23,8 @@
     Discovery(usize),
     /// The controllers' listener.
     Control,
+    /// The operators' listener.
+    Admin,
     /// A client's connection.
     Client(usize),
     /// A connection to a cache node.
@@ -31,11 +33,13 @@
     Rival(usize),
     /// A controller's connection.
     Controller(usize),
+    /// An operator's call.
+    Caller(usize),
 }
 
 impl Source {
     /// The kinds of which there are many leave this much room for their numbers' kind.
-    const KINDS: usize = 5;
+    const KINDS: usize = 6;
 
     /// The token that a socket of this kind is registered under.
     pub fn token(self) -> Token {
@@ -45,11 +49,13 @@
             Source::Terminate => many(0, 1),
             Source::Hangup => many(0, 2),
             Source::Control => many(0, 3),
-            Source::Discovery(call) => many(0, 4 + call),
+            Source::Admin => many(0, 4),
+            Source::Discovery(call) => many(0, 5 + call),
             Source::Client(key) => many(1, key),
             Source::Box(key) => many(2, key),
             Source::Controller(key) => many(3, key),
             Source::Rival(key) => many(4, key),
+            Source::Caller(key) => many(5, key),
         })
     }
 
@@ -67,11 +73,13 @@
             (0, 1) => Source::Terminate,
             (0, 2) => Source::Hangup,
             (0, 3) => Source::Control,
-            (0, call) => Source::Discovery(call - 4),
+            (0, 4) => Source::Admin,
+            (0, call) => Source::Discovery(call - 5),
             (1, key) => Source::Client(key),
             (2, key) => Source::Box(key),
             (3, key) => Source::Controller(key),
-            (_, key) => Source::Rival(key),
+            (4, key) => Source::Rival(key),
+            (_, key) => Source::Caller(key),
         }
     }
 }
@@ -152,9 +160,10 @@
 
     #[test]
     fn every_source_comes_back_from_its_token() {
-        let ones = [Source::Listener, Source::Terminate, Source::Hangup, Source::Control];
-        let many =
-            (0..9).flat_map(|i| [Source::Client(i), Source::Box(i), Source::Rival(i), Source::Controller(i)]);
+        let ones = [Source::Listener, Source::Terminate, Source::Hangup, Source::Control, Source::Admin];
+        let many = (0..9).flat_map(|i| {
+            [Source::Client(i), Source::Box(i), Source::Rival(i), Source::Controller(i), Source::Caller(i)]
+        });
         let all: Vec<Source> = ones.into_iter().chain((0..2).map(Source::Discovery)).chain(many).collect();
         for (i, source) in all.iter().enumerate() {
             assert_eq!(Source::from(source.token()), *source);
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -312,6 +312,7 @@
     let path = scratch("config.json");
     std::fs::write(&path, config).expect("the configuration is written");
     program.env("NODE_CONFIG", &path).env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY");
+    program.env_remove("NODE_ADMIN_ADDR");
     (program.stderr(Stdio::piped()).spawn().expect("the proxy starts"), path)
 }
 
@@ -365,7 +366,8 @@
         std::fs::read_to_string(&self.path).expect("a configuration")
     }
 
-    fn by(program: Command, config: Value) -> Proxy {
+    /// A proxy that this command runs, on this configuration.
+    pub fn by(program: Command, config: Value) -> Proxy {
         let address = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
         let (child, path) = launch_by(program, &config.to_string());
         let proxy = Proxy { address, child, path };
