Values up to 4 MiB: passed on as they come, in bounded memory; long writes wait for room

Change: the codec hands long values on in parts, in both protocols; 'passing' joins a box's connection to its client's place, reads no more than the client takes, and leaves deadlines, repeats and second copies out of it once the first part is handed on. What clients leave unread is bounded in all, each by a part of what is left. Writes are held whole, and read only once there is room, first come first served. A client's head and its value are timed apart. Two states found on reading again: an attempt called off between its first part and the news of it would have been answered twice over, and one called off midway would have cut the next.

Ruled out: the 0.2 s for silent boxes within a reply costs nothing here (short replies are still held whole).

--- a/crates/proxy/src/boxes/connection.rs
+++ b/crates/proxy/src/boxes/connection.rs
@@ -74,6 +74,10 @@
     pub unread: bool,
     /// How long it had been idle before the attempt that was written last; 0 if it was not.
     pub rested: Nanos,
+    /// The first of the attempts sent is being answered with a long value, which is passed on as it comes.
+    pub passing: bool,
+    /// Nothing more is read before what came last has been passed on.
+    pub paused: bool,
     /// It has answered before.
     pub used: bool,
 }
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -18,7 +18,7 @@
 use control::message::BoxStatus;
 use mio::{Registry, Token};
 use node::{word, Node};
-use resp::{Frame, Greeting, Item, Kind, Protocol, Reply, ReplyReader};
+use resp::{Frame, Greeting, Item, Kind, Part, Protocol, Reply, ReplyReader, Shape};
 use rests::Rests;
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde_json::{json, Value};
@@ -42,6 +42,8 @@
 /// A node writes a reply in one go, with pauses of 0.1 s at the most; what is silent for longer within one is
 /// not going to end it.
 const STALLED: Nanos = 200 * MS;
+/// One that gives a long value may take its time: the client has its first bytes, and can't have them twice.
+const PASSING: Nanos = 5_000 * MS;
 /// What an idle connection keeps of its buffer.
 const KEPT: usize = 4 << 10;
 /// A longer write goes out from where it lies instead of being copied behind its command.
@@ -93,6 +95,14 @@
     Ended(RequestId, u32, Status, Reply),
     /// A whole reply that serves it, and the bytes that came with it.
     Served(RequestId, u32, Reply, Vec<u8>),
+    /// A long value begins, on this connection: what it is and its length.
+    Begun(RequestId, u32, usize, Shape, usize),
+    /// Some bytes of it, ...
+    Passed(RequestId, Vec<u8>),
+    /// ... its end, and all else that its reply tells; ...
+    Done(RequestId, Reply),
+    /// ... or it ended before.
+    Cut(RequestId),
     /// A node told something that nobody asked for.
     Push(ServerId, Vec<Frame>),
 }
@@ -347,7 +357,10 @@
             self.end(job, Status::Moot);
             return None;
         };
-        let room = node.connections.len() < self.per_node;
+        // One that passes on a long value is held by its client's pace and carries nothing else meanwhile.
+        let passing = |k: &&usize| self.all.get(**k).is_some_and(|c| c.passing);
+        let held = node.connections.iter().filter(passing).count().min(self.per_node);
+        let room = node.connections.len() - held < self.per_node;
         let gone = job.query.gone_over.borrow().iter().find(|(s, _)| *s == server).map(|(_, over)| *over);
         let only = gone.filter(|_| !self.across && node.book.len() > 1);
         let (mut key, mut new) = (self.idle(server, only, now), None);
@@ -401,7 +414,8 @@
         let node = self.nodes.get(&server)?;
         let keys = node.connections.iter().copied();
         let fits = |c: &Connection| {
-            let takes = c.live == c.sent.len() && (c.depth() > 0 || !c.up) && c.depth() < self.streams;
+            let takes =
+                !c.passing && c.live == c.sent.len() && (c.depth() > 0 || !c.up) && c.depth() < self.streams;
             // One that is not up yet may come up over any address.
             takes && if c.up { node.fits(c, only) } else { only.is_none() }
         };
@@ -454,6 +468,8 @@
             wrote: now,
             unread: false,
             rested: 0,
+            passing: false,
+            paused: false,
             used: false,
         });
         (Some(key), Some(Begun { serial: self.serial, stagger }))
@@ -553,9 +569,12 @@
             self.close(key);
             self.unheard(server, over, given_up, now);
             return true;
-        } else if let Some(slot) = c.sent.iter_mut().find(|s| **s == Some((id, attempt))) {
-            *slot = None;
+        } else if let Some(at) = c.sent.iter().position(|s| *s == Some((id, attempt))) {
+            c.sent[at] = None;
             c.live -= 1;
+            // What of a long value is still to come is dropped.
+            c.passing &= at > 0;
+            c.paused &= at > 0;
             was_sent = true;
         } else {
             return false;
@@ -624,7 +643,11 @@
         if let Some(node) = self.nodes.get_mut(&c.node) {
             node.connections.retain(|k| *k != key);
         }
-        for (id, attempt) in c.sent.into_iter().flatten() {
+        let mut sent = c.sent.into_iter();
+        if c.passing {
+            self.news.extend(sent.next().flatten().map(|(id, _)| News::Cut(id)));
+        }
+        for (id, attempt) in sent.flatten() {
             self.news.push_back(News::Ended(id, attempt, status, Reply::default()));
         }
         for job in c.writing.map(|w| w.job).into_iter().chain(c.queue) {
@@ -659,7 +682,7 @@
         }
         self.flush(key, now);
         for _ in 0..READS {
-            let Some(c) = self.all.get_mut(key) else { return };
+            let Some(c) = self.all.get_mut(key).filter(|c| !c.paused) else { return };
             match c.link.socket.read(buffer) {
                 Ok(0) => {
                     self.lost(key, now);
@@ -674,6 +697,10 @@
                         self.close(key);
                         return;
                     }
+                    if self.all.get(key).is_some_and(|c| c.passing) {
+                        // What its client has room for is known once this has been passed on.
+                        break;
+                    }
                     // A short read emptied the socket; only an end of the stream may stand behind it.
                     if n < buffer.len() && !closed {
                         return;
@@ -722,20 +749,29 @@
                 self.spoilt(key);
                 return true;
             };
-            if !three && front != Some(None) {
+            if !three && front != Some(None) && !matches!(item, Some(Item::Part(_))) {
                 c.reply.extend_from_slice(&input[..used]);
             }
             input = &input[used..];
+            let item = match item {
+                Some(Item::Part(part)) => match self.part(key, part) {
+                    Some(reply) => Some(Item::Reply(reply, Vec::new())),
+                    None => continue,
+                },
+                item => item,
+            };
+            let Some(c) = self.all.get_mut(key) else { return true };
             let (reply, value) = match item {
                 Some(Item::Reply(reply, value)) => (reply, value),
                 Some(Item::Push(told)) => {
                     self.news.push_back(News::Push(c.node, told));
                     continue;
                 }
-                None => continue,
+                Some(Item::Part(_)) | None => continue,
             };
             let Some(front) = front else { return false };
             let bytes = if three { value } else { std::mem::take(&mut c.reply) };
+            let passed = std::mem::take(&mut c.passing);
             c.sent.pop_front();
             c.used = true;
             if let Some(node) = self.nodes.get_mut(&c.node) {
@@ -747,6 +783,7 @@
             let Some((id, attempt)) = front else { continue };
             c.live -= 1;
             self.news.push_back(match reply.kind {
+                _ if passed => News::Done(id, reply),
                 Kind::Served => News::Served(id, attempt, reply, bytes),
                 Kind::Busy => News::Ended(id, attempt, Status::Full, reply),
                 Kind::Failed => News::Ended(id, attempt, Status::Error, reply),
@@ -756,6 +793,42 @@
         self.all.get(key).is_none_or(|c| !c.deserted() || c.sent.is_empty())
     }
 
+    /// Takes a part of a long value; its reply, once that is whole. The parts of one that nobody waits for any more
+    /// are dropped.
+    fn part(&mut self, key: usize, part: Part) -> Option<Reply> {
+        let c = self.all.get_mut(key)?;
+        c.reply.clear();
+        if let Some((id, attempt)) = c.sent.front().copied().flatten() {
+            if let Some((shape, length)) = part.head {
+                c.passing = true;
+                self.news.push_back(News::Begun(id, attempt, key, shape, length));
+            }
+            if c.passing && !part.bytes.is_empty() {
+                self.news.push_back(News::Passed(id, part.bytes));
+            }
+        }
+        part.tail
+    }
+
+    /// Reads nothing more of a connection for now, or goes on.
+    pub fn pause(&mut self, key: usize, id: RequestId, paused: bool, now: Nanos) {
+        let passes =
+            |c: &&mut Connection| c.passing && c.sent.front().is_some_and(|s| s.is_some_and(|s| s.0 == id));
+        let Some(c) = self.all.get_mut(key).filter(passes) else { return };
+        if std::mem::replace(&mut c.paused, paused) && !paused {
+            c.heard = now;
+            self.again.push(key);
+        }
+    }
+
+    /// Gives up a long value that nobody waits for any more.
+    pub fn stop_passing(&mut self, key: usize, id: RequestId) {
+        let c = self.all.get(key).filter(|c| c.passing);
+        if c.and_then(|c| c.sent.front().copied().flatten()).is_some_and(|s| s.0 == id) {
+            self.close(key);
+        }
+    }
+
     /// Writes what the socket takes, each attempt checked when its turn comes.
     fn flush(&mut self, key: usize, now: Nanos) {
         while let Some(c) = self.all.get_mut(key) {
@@ -837,7 +910,9 @@
         let over = |c: &Connection| {
             let since = now.saturating_sub(c.moved);
             (c.depth() == 0 && c.up && since >= self.fresh)
-                || (c.midway() && now.saturating_sub(c.heard) >= STALLED)
+                || (c.midway()
+                    && !c.paused
+                    && now.saturating_sub(c.heard) >= if c.passing { PASSING } else { STALLED })
         };
         let over: Vec<usize> = self.all.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
         over.into_iter().for_each(|key| self.spoilt(key));
--- a/crates/proxy/src/front/clients.rs
+++ b/crates/proxy/src/front/clients.rs
@@ -5,7 +5,7 @@
 use calicosaddle::api::{Nanos, RequestId};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
-use resp::{Command, CommandParser, Protocol, Room, MAX_VALUE};
+use resp::{Command, CommandParser, Protocol, Reply, Room, Shape, MAX_VALUE};
 use session::{Said, Session, Users};
 use slab::Slab;
 use std::borrow::Cow;
@@ -29,6 +29,11 @@
 /// A client may take 2 s to write a command. One that has asked for nothing so long after connecting, or whose
 /// command is not whole after it, is let go; it is owed that within 3 s.
 const ASKING: Nanos = 2_400 * MS;
+/// The value of a command has to come on without pauses of that length, and to be whole after so long.
+const WRITING: Nanos = 30_000 * MS;
+/// The part of the room for unread answers that one client may have for a long value, and the most.
+const SHARE: usize = 4;
+const LARGEST: usize = 1 << 20;
 /// A client that reads nothing of its answers for so long is let go.
 const STALLED: Nanos = 5_000 * MS;
 /// Between requests a client may be silent for so long.
@@ -57,6 +62,8 @@
     /// The client ended its sending and has this request open. It may still read: what is under way may be
     /// answered, nothing new may be sent.
     Left(RequestId),
+    /// There is room for more of the long value that is being passed on as this request's answer.
+    Wants(RequestId),
     /// The connection is gone, and nothing can be answered on it.
     Gone(RequestId),
 }
@@ -66,6 +73,9 @@
     /// Not answered; the protocol is that in force when its command came.
     Waiting(RequestId, Protocol),
     Ready(Vec<u8>),
+    /// It is being answered with a long value; what has come of it while it waits for answers before it, and
+    /// whether no more is wanted for now.
+    Passing(RequestId, Protocol, Vec<u8>, bool),
 }
 
 #[derive(Debug)]
@@ -99,9 +109,16 @@
     dropped: usize,
     /// Input was left unread, so that its answers don't pile up.
     held_up: bool,
+    /// Input behind the head of a command whose value waits for room.
+    pending: Vec<u8>,
 }
 
 impl Client {
+    /// A long value is being passed on to it now.
+    fn passing(&self) -> bool {
+        matches!(self.slots.front(), Some(Slot::Passing(..)))
+    }
+
     /// Bytes of answers that it has yet to read.
     fn backlog(&self) -> usize {
         self.out.len() - self.written + self.held
@@ -141,6 +158,8 @@
     /// New requests are still taken, but each connection is closed after its answers.
     stopping: bool,
     dirty: Vec<usize>,
+    /// Connections whose commands wait for room, in the order in which they came to.
+    waiting: VecDeque<usize>,
     /// Connections that may have more input.
     again: Vec<usize>,
     news: VecDeque<News>,
@@ -172,6 +191,7 @@
             accepting: false,
             stopping: false,
             dirty: Vec::new(),
+            waiting: VecDeque::new(),
             again: Vec::new(),
             news: VecDeque::new(),
         }
@@ -277,6 +297,7 @@
                 lingering: None,
                 dropped: 0,
                 held_up: false,
+                pending: Vec::new(),
             });
         }
         Ok(())
@@ -307,7 +328,7 @@
             // Guards against clients that ask faster than they read; the sockets between hold the rest.
             client.held_up = client.backlog() > HIGH;
             // Danger: to read to its end what a client still sends after its error takes the time of others.
-            if client.held_up || client.dropped > LINGER_BYTES {
+            if client.held_up || client.parser.waits_for_room() || client.dropped > LINGER_BYTES {
                 return;
             }
             match client.stream.read(buffer) {
@@ -363,6 +384,11 @@
                         None if client.parser.midway() => client.midway_since.or(Some(now)),
                         _ => None,
                     };
+                    if client.parser.waits_for_room() {
+                        client.pending.extend_from_slice(input);
+                        self.waiting.push_back(key);
+                        return;
+                    }
                     if let Some(command) = command {
                         self.command(key, command, config);
                     }
@@ -377,6 +403,23 @@
         }
     }
 
+    /// Reads on where commands waited for room and there is some, the first to wait first.
+    pub fn admit(&mut self, config: &Config, now: Nanos) {
+        while let Some(key) = self.waiting.front().copied() {
+            // Another connection may have come to this place.
+            if let Some(client) = self.all.get_mut(key).filter(|c| c.parser.waits_for_room()) {
+                if !client.parser.try_room() {
+                    return;
+                }
+                client.moved = now;
+                let pending = std::mem::take(&mut client.pending);
+                self.input(key, &pending, config, now);
+                self.again.push(key);
+            }
+            self.waiting.pop_front();
+        }
+    }
+
     fn command(&mut self, key: usize, command: Command, config: &Config) {
         let Some(client) = self.all.get_mut(key) else { return };
         if let Said::Answer(answer) = client.session.take(&command, &self.users) {
@@ -444,17 +487,90 @@
         self.advance(place.client);
     }
 
+    /// How many bytes of a long value one client may have unread: a part of the room that is left, so that a few
+    /// slow clients have much and many have little each.
+    fn share(&self) -> usize {
+        (self.max_backlog.saturating_sub(self.backlog) / SHARE).clamp(MAX_VALUE, LARGEST)
+    }
+
+    /// The slot at a place, and where that is in the order of answers.
+    fn slot(&mut self, place: Place) -> Option<(&mut Client, usize)> {
+        let client = self.all.get_mut(place.client)?;
+        let at = place.number.checked_sub(client.first)? as usize;
+        (at < client.slots.len()).then_some((client, at))
+    }
+
+    /// Begins a request's answer, a long value.
+    pub fn begin(&mut self, place: Place, shape: Shape, length: usize) {
+        let Some((client, at)) = self.slot(place) else { return };
+        let Slot::Waiting(id, protocol) = client.slots[at] else { return };
+        let mut head = Vec::new();
+        Reply::write_head(shape, length, protocol, &mut head);
+        client.slots[at] = Slot::Passing(id, protocol, Vec::new(), false);
+        self.pass(place, &head);
+    }
+
+    /// Goes on with it. False if no more of it is wanted for now: [`News::Wants`] says when there is.
+    pub fn pass(&mut self, place: Place, bytes: &[u8]) -> bool {
+        let share = self.share();
+        let Some((client, at)) = self.slot(place) else { return true };
+        let (unread, held) = (client.backlog() + bytes.len(), client.held);
+        let Slot::Passing(_, _, kept, full) = &mut client.slots[at] else { return true };
+        let room = unread <= share;
+        *full = !room;
+        if at == 0 {
+            client.out.extend_from_slice(bytes);
+        } else {
+            kept.extend_from_slice(bytes);
+            client.held = held + bytes.len();
+        }
+        self.backlog += bytes.len();
+        self.advance(place.client);
+        room
+    }
+
+    /// Ends it.
+    pub fn finish(&mut self, place: Place, reply: &Reply) {
+        let Some((client, at)) = self.slot(place) else { return };
+        let Slot::Passing(_, protocol, kept, _) = &mut client.slots[at] else { return };
+        let before = kept.len();
+        reply.write_tail(*protocol, kept);
+        let (tail, kept) = (kept.len() - before, std::mem::take(kept));
+        client.held += tail;
+        client.slots[at] = Slot::Ready(kept);
+        self.backlog += tail;
+        self.advance(place.client);
+    }
+
+    /// It can't be ended: closing is how the client can tell.
+    pub fn cut(&mut self, place: Place) {
+        if let Some((client, at)) = self.slot(place) {
+            client.slots.remove(at);
+            self.remove(place.client);
+        }
+    }
+
     /// Moves what can go out in order to the output.
     fn advance(&mut self, key: usize) {
         let Some(client) = self.all.get_mut(key) else { return };
-        while let Some(Slot::Ready(answer)) = client.slots.front_mut() {
-            client.held -= answer.len();
-            client.out.append(answer);
-            client.slots.pop_front();
-            client.first += 1;
+        loop {
+            match client.slots.front_mut() {
+                Some(Slot::Ready(answer)) => {
+                    client.held -= answer.len();
+                    client.out.append(answer);
+                    client.slots.pop_front();
+                    client.first += 1;
+                }
+                Some(Slot::Passing(_, _, kept, _)) => {
+                    client.held -= kept.len();
+                    client.out.append(kept);
+                    break;
+                }
+                Some(Slot::Waiting(..)) | None => break,
+            }
         }
         // Danger: clients that ask and do not read would fill the memory with answers.
-        if self.backlog > self.max_backlog && client.backlog() > HIGH {
+        if self.backlog > self.max_backlog && client.backlog() > HIGH && !client.passing() {
             self.remove(key);
         } else if !client.dirty {
             client.dirty = true;
@@ -471,6 +587,7 @@
 
     /// Writes what a connection will take.
     pub fn flush(&mut self, key: usize, now: Nanos) {
+        let share = self.share();
         let Some(client) = self.all.get_mut(key) else { return };
         client.dirty = false;
         while client.written < client.out.len() {
@@ -496,6 +613,11 @@
             client.out.drain(..client.written);
             client.written = 0;
         }
+        let little = client.backlog() <= share / 2;
+        if let Some(Slot::Passing(id, _, _, full @ true)) = client.slots.front_mut().filter(|_| little) {
+            *full = false;
+            self.news.push_back(News::Wants(*id));
+        }
         if client.held_up && client.backlog() <= HIGH {
             client.held_up = false;
             self.again.push(key);
@@ -524,7 +646,7 @@
         self.backlog = self.backlog.saturating_sub(client.backlog());
         for slot in client.slots {
             match slot {
-                Slot::Waiting(id, _) => self.news.push_back(News::Gone(id)),
+                Slot::Waiting(id, _) | Slot::Passing(id, ..) => self.news.push_back(News::Gone(id)),
                 Slot::Ready(_) => {}
             }
         }
@@ -533,6 +655,11 @@
     /// Ends what has waited too long.
     pub fn sweep(&mut self, now: Nanos) {
         let since = |at: Nanos, most: Nanos| now.saturating_sub(at) > most;
+        let slow_since = |c: &Client, at: Nanos| match c.parser.in_value() {
+            // What waits for room waits for us.
+            true => !c.parser.waits_for_room() && (since(c.moved, ASKING) || since(at, WRITING)),
+            false => since(at, ASKING),
+        };
         let (mut gone, mut slow) = (Vec::new(), Vec::new());
         let crowded = self.all.iter().filter(|(_, c)| c.asked > 0 && c.idle()).count() > self.limit / 4;
         let idle = |c: &Client| match c.asked {
@@ -545,7 +672,7 @@
             let silent = c.newcomer.is_some_and(|at| since(at, ASKING)) || since(c.moved, idle(c));
             if unread || c.lingering.is_some_and(|at| since(at, LINGER)) || (silent && c.quiet()) {
                 gone.push(key);
-            } else if !c.closing && c.midway_since.is_some_and(|at| since(at, ASKING)) {
+            } else if !c.closing && c.midway_since.is_some_and(|at| slow_since(c, at)) {
                 slow.push(key);
             }
         }
--- a/crates/proxy/src/front/operate.rs
+++ b/crates/proxy/src/front/operate.rs
@@ -210,7 +210,7 @@
     fn figures(&self) -> String {
         let now = Now {
             backend_calls: self.boxes.written(),
-            inflight: self.requests.unanswered(),
+            inflight: self.requests.unanswered() + self.passing.len(),
             hosts_listed: self.boxes.counts().0,
             hosts_down: self.brain.avoided(self.turn.now),
         };
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 mod figures;
 mod front;
 mod life;
+mod passing;
 mod path;
 mod platform;
 mod request;
@@ -60,6 +61,8 @@
     brain: Brain,
     clients: Clients,
     requests: Table,
+    /// Long values that are being passed on.
+    passing: passing::Passing,
     gates: Gates,
     observers: Observers,
     boxes: Boxes,
@@ -120,6 +123,7 @@
             brain: Brain::new(config.settings.clone(), config.seed),
             clients,
             requests: Table::default(),
+            passing: passing::Passing::default(),
             gates: Gates::new(config.max_open),
             observers: Observers::default(),
             boxes: Boxes::new(&config, half, registry.try_clone()?, &operator.boxes, hello),
@@ -247,6 +251,8 @@
             admin.accept(self.turn.registry(), self.turn.now, |key| Source::Caller(key).token());
         }
         self.controlled();
+        self.clients.admit(&self.config, self.turn.now);
+        self.settle();
         self.clients.flush_all(self.turn.now);
         self.settle();
     }
--- a/crates/proxy/src/life.rs
+++ b/crates/proxy/src/life.rs
@@ -27,7 +27,9 @@
                     self.events.push_back(Event::Expired(id));
                 }
             }
+            clients::News::Wants(id) => self.wanted(id),
             clients::News::Gone(id) => {
+                self.no_longer_wanted(id);
                 if self.requests.answer(id).is_none() {
                     return;
                 }
@@ -169,6 +171,16 @@
                 self.answer(id, Answer::Served(&reply, &bytes), Final::Served);
                 self.ended(id, attempt, Status::Ok, &reply);
             }
+            boxes::News::Begun(id, attempt, key, shape, length) => {
+                // Danger: it may have been called off since, and something else sent in its place.
+                if self.requests.attempt(id, attempt).is_some() {
+                    self.begun(id, key, shape, length);
+                }
+                self.ended(id, attempt, Status::Ok, &resp::Reply::default());
+            }
+            boxes::News::Passed(id, bytes) => self.passed(id, &bytes),
+            boxes::News::Done(id, reply) => self.passed_whole(id, &reply),
+            boxes::News::Cut(id) => self.cut(id),
             boxes::News::Push(server, told) => self.observers.tell(Told::Push(server, &told)),
         }
     }
--- a/crates/resp/src/command.rs
+++ b/crates/resp/src/command.rs
@@ -2,7 +2,7 @@
 
 use crate::number::Number;
 use crate::room::Lease;
-use crate::{Broken, Room, MAX_VALUE};
+use crate::{Broken, Room, MAX_LONG, MAX_VALUE};
 
 /// Arguments that a command may have; `CACHE.SET` has five.
 const MAX_ARGS: usize = 16;
@@ -50,7 +50,12 @@
     Count(Number),
     Dollar,
     Length(Number),
-    Body { left: usize, keep: bool },
+    /// A long value of so many bytes waits until there is room for it.
+    Wait(usize),
+    Body {
+        left: usize,
+        keep: bool,
+    },
     Cr,
     Lf,
 }
@@ -75,10 +80,30 @@
         !matches!(self.state, CommandState::Start)
     }
 
-    /// Takes input up to the end of a command; tells how much it took, and the command once it is whole.
+    /// True if the command's value has begun and is not whole.
+    pub fn in_value(&self) -> bool {
+        use CommandState::{Body, Cr, Lf, Wait};
+        self.command.count == VALUE_AT && matches!(self.state, Wait(_) | Body { .. } | Cr | Lf)
+    }
+
+    /// True if nothing more is taken before there is room for the value that comes next.
+    pub fn waits_for_room(&self) -> bool {
+        matches!(self.state, CommandState::Wait(_))
+    }
+
+    /// Asks for that room again; true if nothing is waited for.
+    pub fn try_room(&mut self) -> bool {
+        if let CommandState::Wait(length) = self.state {
+            self.begin(length);
+        }
+        !self.waits_for_room()
+    }
+
+    /// Takes input up to the end of a command; tells how much it took, and the command once it is whole. It takes
+    /// less, perhaps nothing, where it comes to wait for room.
     pub fn feed(&mut self, input: &[u8]) -> Result<(usize, Option<Command>), Broken> {
         let mut at = 0;
-        while at < input.len() {
+        while at < input.len() && !self.waits_for_room() {
             if let CommandState::Body { left, keep } = &mut self.state {
                 let part = &input[at..input.len().min(at + *left)];
                 if *keep {
@@ -121,7 +146,7 @@
             CommandState::Dollar => return Err(Broken("expected '$'")),
             CommandState::Length(number) => {
                 if let Some(n) = number.push(byte)? {
-                    let most = if self.command.count == VALUE_AT { MAX_VALUE } else { SMALL_ARG };
+                    let most = if self.command.count == VALUE_AT { MAX_LONG } else { SMALL_ARG };
                     let length = usize::try_from(n).ok().filter(|n| *n <= most);
                     let length = length.ok_or(Broken("invalid bulk length"))?;
                     self.begin(length);
@@ -150,6 +175,11 @@
                     self.command.leases.push(lease);
                     self.command.bytes.reserve_exact(length);
                 }
+                // Not read on, a longer one keeps its sender waiting and costs no memory here.
+                None if length > MAX_VALUE && length <= self.room.all() => {
+                    self.state = CommandState::Wait(length);
+                    return;
+                }
                 None => (keep, self.command.whole) = (false, false),
             }
         }
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -16,12 +16,14 @@
 pub use command::{Command, CommandParser};
 pub use decode::{Blob, Decoder, Event, Group, Limits, Whole};
 pub use frame::{Builder, Frame, Frames};
-pub use reply::{Kind, Reply, ReplyParser, Shape};
+pub use reply::{Kind, Part, Reply, ReplyParser, Shape};
 pub use room::Room;
 pub use three::{Greeted, Greeting, Item, ReplyReader};
 
-/// The longest value that the protocol has.
+/// The longest value that is handed on whole.
 pub const MAX_VALUE: usize = 64 << 10;
+/// The longest value there is. One over [`MAX_VALUE`] is handed on in parts as it comes.
+pub const MAX_LONG: usize = 4 << 20;
 /// The longest line, note or load report.
 const MAX_LINE: usize = 1 << 10;
 
--- a/crates/resp/src/reply.rs
+++ b/crates/resp/src/reply.rs
@@ -1,7 +1,7 @@
 //! The replies of cache nodes in RESP2, and what replies are in either protocol.
 
 use crate::number::Number;
-use crate::{Broken, Protocol, MAX_LINE, MAX_VALUE};
+use crate::{Broken, Protocol, MAX_LINE, MAX_LONG, MAX_VALUE};
 use std::io::Write;
 use std::ops::Range;
 
@@ -51,6 +51,17 @@
     BigNumber,
 }
 
+/// A part of a reply whose value is longer than [`MAX_VALUE`].
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Part {
+    /// The first part: what the value is, and how many bytes it has.
+    pub head: Option<(Shape, usize)>,
+    /// Some of the value's bytes.
+    pub bytes: Vec<u8>,
+    /// The last part: all else that the reply tells.
+    pub tail: Option<Reply>,
+}
+
 impl Reply {
     /// Takes in an error line: what kind it is, and the load report that may stand last.
     pub(crate) fn error(&mut self, line: &[u8]) {
@@ -70,25 +81,32 @@
             return;
         }
         let value = bytes.get(self.value.clone()).unwrap_or_default();
+        Reply::write_head(self.shape, value.len(), protocol, out);
+        out.extend_from_slice(value);
+        self.write_tail(protocol, out);
+    }
+
+    /// Writes what stands before a value of this length.
+    pub fn write_head(shape: Shape, length: usize, protocol: Protocol, out: &mut Vec<u8>) {
         out.extend_from_slice(b"*3\r\n");
-        match (self.shape, protocol) {
+        // Writing to a vector cannot fail.
+        match (shape, protocol) {
             (Shape::Verbatim(format), Protocol::Three) => {
-                // Writing to a vector cannot fail.
-                let _ = write!(out, "={}\r\n", value.len() + 4);
+                let _ = write!(out, "={}\r\n", length + 4);
                 out.extend_from_slice(&format);
                 out.push(b':');
-                line(value, out);
-            }
-            (Shape::Double, Protocol::Three) => {
-                out.push(b',');
-                line(value, out);
             }
-            (Shape::BigNumber, Protocol::Three) => {
-                out.push(b'(');
-                line(value, out);
+            (Shape::Double, Protocol::Three) => out.push(b','),
+            (Shape::BigNumber, Protocol::Three) => out.push(b'('),
+            _ => {
+                let _ = write!(out, "${length}\r\n");
             }
-            _ => bulk(value, out),
         }
+    }
+
+    /// Writes what stands behind the value.
+    pub fn write_tail(&self, protocol: Protocol, out: &mut Vec<u8>) {
+        out.extend_from_slice(b"\r\n");
         for part in [&self.note, &self.load] {
             match (part.is_empty(), protocol) {
                 (false, _) => bulk(part, out),
@@ -138,6 +156,8 @@
     taken: usize,
     line: Vec<u8>,
     reply: Reply,
+    /// A value that is handed on in parts: what of it has not been taken, and whether its reply is whole.
+    long: Option<Box<Part>>,
 }
 
 impl Default for ReplyParser {
@@ -150,6 +170,7 @@
             taken: 0,
             line: Vec::new(),
             reply: Reply::default(),
+            long: None,
         }
     }
 }
@@ -160,8 +181,18 @@
         self.array || !matches!(self.state, ReplyState::Type)
     }
 
+    /// The part of a long value that the last input brought; call it after each [`ReplyParser::feed`].
+    pub fn take_part(&mut self, whole: Option<&Reply>) -> Option<Part> {
+        let long = self.long.as_mut()?;
+        let part = Part { tail: whole.cloned(), ..std::mem::take(&mut **long) };
+        if whole.is_some() {
+            self.long = None;
+        }
+        Some(part)
+    }
+
     /// Takes input until a reply ends or there is no more; tells how much it took, and the reply once it is
-    /// whole.
+    /// whole. The bytes of a long value are not the caller's to keep: they come as parts.
     pub fn feed(&mut self, input: &[u8]) -> Result<(usize, Option<Reply>), Broken> {
         let (mut at, before) = (0, self.taken);
         while at < input.len() {
@@ -169,6 +200,8 @@
                 let part = &input[at..input.len().min(at + *left)];
                 if self.element > 0 {
                     self.line.extend_from_slice(part);
+                } else if let Some(long) = &mut self.long {
+                    long.bytes.extend_from_slice(part);
                 }
                 at += part.len();
                 *left -= part.len();
@@ -215,13 +248,19 @@
                 if n == -1 {
                     return Ok(self.next());
                 }
-                let most = if self.element == 0 { MAX_VALUE } else { MAX_LINE };
+                let most = if self.element == 0 { MAX_LONG } else { MAX_LINE };
                 let length = usize::try_from(n).ok().filter(|n| *n <= most);
                 let length = length.ok_or(Broken("invalid bulk length"))?;
                 self.state = if length == 0 { ReplyState::Cr } else { ReplyState::Body(length) };
                 if self.element == 0 {
                     self.reply.kind = Kind::Served;
-                    self.reply.value = taken..taken + length;
+                    if length > MAX_VALUE {
+                        self.reply.shape = Shape::Plain;
+                        let head = Some((Shape::Plain, length));
+                        self.long = Some(Box::new(Part { head, ..Part::default() }));
+                    } else {
+                        self.reply.value = taken..taken + length;
+                    }
                 }
             }
             ReplyState::Line { cr } if !*cr => match byte {
@@ -261,7 +300,8 @@
 
     fn end(&mut self) -> Reply {
         let line = std::mem::take(&mut self.line);
-        let done = std::mem::replace(self, ReplyParser { line, ..ReplyParser::default() });
+        let long = self.long.take();
+        let done = std::mem::replace(self, ReplyParser { line, long, ..ReplyParser::default() });
         done.reply
     }
 }
--- a/crates/resp/src/room.rs
+++ b/crates/resp/src/room.rs
@@ -5,17 +5,25 @@
 
 /// Memory for long values, shared by all connections.
 #[derive(Clone, Debug)]
-pub struct Room(Rc<Cell<usize>>);
+pub struct Room {
+    left: Rc<Cell<usize>>,
+    all: usize,
+}
 
 impl Room {
     /// Room for so many bytes.
     pub fn new(bytes: usize) -> Self {
-        Room(Rc::new(Cell::new(bytes)))
+        Room { left: Rc::new(Cell::new(bytes)), all: bytes }
+    }
+
+    /// How large it is when nothing is taken.
+    pub(crate) fn all(&self) -> usize {
+        self.all
     }
 
     pub(crate) fn lease(&self, bytes: usize) -> Option<Lease> {
-        let left = self.0.get().checked_sub(bytes)?;
-        self.0.set(left);
+        let left = self.left.get().checked_sub(bytes)?;
+        self.left.set(left);
         Some(Lease { room: self.clone(), bytes })
     }
 }
@@ -29,6 +37,6 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.room.0.set(self.room.0.get() + self.bytes);
+        self.room.left.set(self.room.left.get() + self.bytes);
     }
 }
--- a/crates/resp/src/three.rs
+++ b/crates/resp/src/three.rs
@@ -5,8 +5,8 @@
 
 use crate::frame::Frames;
 use crate::{
-    Blob, Broken, Builder, Decoder, Event, Frame, Group, Kind, Limits, Protocol, Reply, ReplyParser, Shape,
-    Whole, MAX_LINE,
+    Blob, Broken, Builder, Decoder, Event, Frame, Group, Kind, Limits, Part, Protocol, Reply, ReplyParser,
+    Shape, Whole, MAX_LINE, MAX_LONG, MAX_VALUE,
 };
 
 /// Something that a cache node said.
@@ -14,6 +14,8 @@
 pub enum Item {
     /// A reply, and in RESP3 its value; in RESP2 its bytes are those that were taken.
     Reply(Reply, Vec<u8>),
+    /// A part of a reply whose value is long.
+    Part(Part),
     /// A push: its kind and what it tells.
     Push(Vec<Frame>),
 }
@@ -60,6 +62,8 @@
     /// The role of the blob that is being read, its kind, and its bytes where they are not the value's.
     blob: Option<(Role, Blob)>,
     text: Vec<u8>,
+    /// A value that is handed on in parts: what of it has not been.
+    long: Option<Part>,
 }
 
 impl Reading {
@@ -111,17 +115,25 @@
                 self.text.clear();
                 self.blob = Some((role, blob));
                 if matches!(role, Role::Top | Role::Value) && blob != Blob::Error {
-                    self.serve(match blob {
+                    let shape = match blob {
                         Blob::Verbatim(format) => Shape::Verbatim(format),
                         _ => Shape::Plain,
-                    })?;
-                    self.value.reserve_exact(length);
+                    };
+                    self.serve(shape)?;
+                    if length > MAX_VALUE {
+                        self.long = Some(Part { head: Some((shape, length)), ..Part::default() });
+                    } else {
+                        self.value.reserve_exact(length);
+                    }
                 }
             }
             Event::Bytes(bytes) => match self.blob {
-                Some((Role::Top | Role::Value, Blob::Plain | Blob::Verbatim(_))) => {
-                    self.value.extend_from_slice(bytes);
-                }
+                Some((Role::Top | Role::Value, Blob::Plain | Blob::Verbatim(_))) => match &mut self.long {
+                    Some(long) => long.bytes.extend_from_slice(bytes),
+                    // Danger: a string that does not tell its length first is kept until it is whole.
+                    None if self.value.len() + bytes.len() > MAX_VALUE => return Err(Broken("too long")),
+                    None => self.value.extend_from_slice(bytes),
+                },
                 Some((Role::Other, _)) | None => {}
                 Some(_) if self.text.len() + bytes.len() <= MAX_LINE => self.text.extend_from_slice(bytes),
                 Some(_) => return Err(Broken("line is too long")),
@@ -222,7 +234,10 @@
     fn end(&mut self) -> Item {
         let mut done = std::mem::take(self);
         done.reply.value = 0..done.value.len();
-        Item::Reply(done.reply, done.value)
+        match done.long {
+            Some(part) => Item::Part(Part { tail: Some(done.reply), ..part }),
+            None => Item::Reply(done.reply, done.value),
+        }
     }
 }
 
@@ -236,12 +251,27 @@
 }
 
 /// Reads replies and pushes in RESP3.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Three {
     decoder: Decoder,
     reading: Reading,
     push: Builder,
     pushing: bool,
+    /// Bytes of the push at hand.
+    pushed: usize,
+}
+
+impl Default for Three {
+    fn default() -> Self {
+        let usual = Limits::default();
+        Three {
+            decoder: Decoder::new(Limits { blob: MAX_LONG, bytes: MAX_LONG + usual.bytes, ..usual }),
+            reading: Reading::default(),
+            push: Builder::default(),
+            pushing: false,
+            pushed: 0,
+        }
+    }
 }
 
 impl ReplyReader {
@@ -277,7 +307,8 @@
         match self {
             ReplyReader::Two(parser) => {
                 let (used, reply) = parser.feed(input)?;
-                Ok((used, reply.map(|reply| Item::Reply(reply, Vec::new()))))
+                let part = parser.take_part(reply.as_ref()).map(Item::Part);
+                Ok((used, part.or(reply.map(|reply| Item::Reply(reply, Vec::new())))))
             }
             ReplyReader::Three(three) => three.feed(input),
         }
@@ -286,21 +317,28 @@
 
 impl Three {
     fn feed(&mut self, input: &[u8]) -> Result<(usize, Option<Item>), Broken> {
-        let Three { decoder, reading, push, pushing } = self;
+        let Three { decoder, reading, push, pushing, pushed: kept } = self;
         let mut pushed = None;
         let (used, whole) = decoder.feed(input, |event| {
             *pushing |= matches!(event, Event::Begin(Group::Push, _));
             if *pushing {
+                // What nobody asked for is kept whole, so it may not be long.
+                if let Event::Bytes(bytes) = event {
+                    *kept += bytes.len();
+                    if *kept > Limits::default().bytes {
+                        return Err(Broken("too long"));
+                    }
+                }
                 pushed = push.take(event).or(pushed.take());
                 return Ok(());
             }
             reading.take(event)
         })?;
         let item = match whole {
-            None => None,
+            None => reading.long.as_mut().map(|long| Item::Part(std::mem::take(long))),
             Some(Whole::Frame) => Some(reading.end()),
             Some(Whole::Push) => {
-                *pushing = false;
+                (*pushing, *kept) = (false, 0);
                 match pushed {
                     Some(Frame::Push(told)) => Some(Item::Push(told)),
                     _ => None,
