Descriptors go to clients or to boxes by need: up to two thirds, and a third to a half

Change: 'places' (no I/O) says who may have how many; an idle connection to a box yields to a newcomer, one by one, down to a third. Operators' calls have 16 places instead of 24.

--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -8,6 +8,7 @@
 mod rests;
 mod socket;
 
+use crate::places::Places;
 use crate::platform::config::Config;
 use crate::platform::discovery::{Names, News as List};
 use crate::turn::Source;
@@ -195,6 +196,22 @@
         self.fresh = self.rests.fresh(self.stated);
     }
 
+    /// Makes room for a client that comes to so many others, as far as idle connections allow it; tells how many
+    /// clients there may be then.
+    pub fn make_room(&mut self, places: Places, clients: usize) -> usize {
+        let wanted = clients >= places.for_clients(self.descriptors());
+        if wanted && self.descriptors() > places.for_nodes(usize::MAX) {
+            self.evict();
+        }
+        self.limit = places.for_nodes(clients);
+        places.for_clients(self.descriptors())
+    }
+
+    /// Descriptors that connections hold.
+    pub fn descriptors(&self) -> usize {
+        self.all.len() + self.rivals
+    }
+
     /// These nodes, and no others, are drained by operators.
     pub fn withdraw(&mut self, servers: &[ServerId], now: Nanos) {
         self.withdrawn = servers.iter().copied().collect();
@@ -429,7 +446,7 @@
         job: &Job,
         now: Nanos,
     ) -> (Option<usize>, Option<Begun>) {
-        if self.all.len() + self.rivals >= self.limit && !self.evict() {
+        if self.descriptors() >= self.limit && !self.evict() {
             return (None, None);
         }
         let Some(node) = self.nodes.get_mut(&server) else { return (None, None) };
@@ -477,7 +494,7 @@
 
     /// Tries the next address beside the one that is not up, if descriptors allow it.
     pub fn stagger(&mut self, key: usize, serial: u64, now: Nanos) {
-        if self.all.len() + self.rivals >= self.limit {
+        if self.descriptors() >= self.limit {
             return;
         }
         let Some(c) = self.all.get_mut(key).filter(|c| c.serial == serial && !c.up) else { return };
@@ -488,7 +505,7 @@
 
     /// An attempt to connect failed: the other one goes on, or the next begins.
     fn dial_failed(&mut self, key: usize, rival: bool, now: Nanos) {
-        let room = self.all.len() + self.rivals < self.limit;
+        let room = self.descriptors() < self.limit;
         let Some(c) = self.all.get_mut(key) else { return };
         let Some(node) = self.nodes.get_mut(&c.node) else { return };
         let other = c.rival.take();
--- a/crates/proxy/src/front/admin.rs
+++ b/crates/proxy/src/front/admin.rs
@@ -14,7 +14,7 @@
 
 const MS: Nanos = 1_000_000;
 /// Calls at once.
-pub const PLACES: usize = 24;
+pub const PLACES: usize = 16;
 /// The longest line.
 const MAX_LINE: usize = 128;
 /// A call is over after so long, whatever its caller does.
--- a/crates/proxy/src/front/clients.rs
+++ b/crates/proxy/src/front/clients.rs
@@ -237,14 +237,19 @@
         self.accepting = true;
     }
 
-    /// Accepts what waits, up to a bound. An error means that descriptors or memory ran out.
+    /// Accepts what waits, up to a bound, with as many places as `limit` says beside so many clients. An error means
+    /// that descriptors or memory ran out.
     pub fn accept(
         &mut self,
         registry: &Registry,
         now: Nanos,
         token: impl Fn(usize) -> Token,
+        mut limit: impl FnMut(usize) -> usize,
     ) -> io::Result<()> {
         for _ in 0..ACCEPTS {
+            if self.accepting {
+                self.limit = limit(self.all.len());
+            }
             // Where all have requests open, the kernel keeps a newcomer until one ends.
             if !self.accepting || !self.has_place() {
                 return Ok(());
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod life;
 mod passing;
 mod path;
+mod places;
 mod platform;
 mod request;
 mod timers;
@@ -28,6 +29,7 @@
 use mio::event::Event as Woken;
 use mio::Events;
 use path::{Gates, Observers, Told};
+use places::Places;
 use platform::discovery::{self, Answer, Discovery};
 use platform::inherited;
 use platform::signals::Signals;
@@ -63,6 +65,7 @@
     requests: Table,
     /// Long values that are being passed on.
     passing: passing::Passing,
+    places: Places,
     gates: Gates,
     observers: Observers,
     boxes: Boxes,
@@ -99,15 +102,14 @@
         let turn = Turn::new()?;
         let (registry, now) = (turn.registry(), turn.now);
         let signals = Signals::listen(registry, Source::Terminate.token(), Source::Hangup.token())?;
-        // Half of the descriptors for clients, half for cache nodes: a request needs one of each.
         let controllers = operator.control.as_ref().map_or(0, |c| c.max_connections + 1);
         let reserved = RESERVED + controllers + config.admin.map_or(0, |_| admin::PLACES + 1);
-        let half = (config.sockets.saturating_sub(reserved) / 2).max(1);
+        let places = Places::new(config.sockets, reserved);
         let memory = ((config.memory_mb << 20) / MEMORY_PART) as usize;
         let users = front::users(&operator.clients, &config.tenants)?;
         let hello = boxes::hello(&operator.boxes)?;
         let kept = Kept::load(operator.control.as_ref().and_then(|c| c.state_file.clone()))?;
-        let mut clients = Clients::new(config.listen, inherited, half, memory, users);
+        let mut clients = Clients::new(config.listen, inherited, places.for_clients(0), memory, users);
         let drained = kept.state.drained;
         if !drained {
             clients.listen(registry, Source::Listener.token())?;
@@ -124,9 +126,10 @@
             clients,
             requests: Table::default(),
             passing: passing::Passing::default(),
+            places,
             gates: Gates::new(config.max_open),
             observers: Observers::default(),
-            boxes: Boxes::new(&config, half, registry.try_clone()?, &operator.boxes, hello),
+            boxes: Boxes::new(&config, places.for_nodes(0), registry.try_clone()?, &operator.boxes, hello),
             discovery: Discovery::new(config.discovery, config.names.clone(), version, calls),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -234,8 +237,7 @@
             self.clients.read(key, closed(event), &self.config, &mut self.buffer, self.turn.now);
             self.settle();
         }
-        let client = |key| Source::Client(key).token();
-        if self.clients.accept(self.turn.registry(), self.turn.now, client).is_err() {
+        if self.accept().is_err() {
             // Danger: without a pause the loop would spin on a listener that it can't accept from.
             self.turn.timers.set(self.turn.now + ACCEPT_PAUSE, Due::Accept);
         }
@@ -257,6 +259,14 @@
         self.settle();
     }
 
+    /// Accepts clients, each with what places there are by then.
+    fn accept(&mut self) -> io::Result<()> {
+        let (places, boxes) = (self.places, &mut self.boxes);
+        let client = |key| Source::Client(key).token();
+        let limit = |clients| boxes.make_room(places, clients);
+        self.clients.accept(self.turn.registry(), self.turn.now, client, limit)
+    }
+
     /// Works off all that sockets told and that follows from it.
     fn settle(&mut self) {
         loop {
@@ -346,6 +356,10 @@
                     self.turn.timers.set(self.turn.now + SWEEP, Due::Sweep);
                     self.clients.sweep(self.turn.now);
                     self.boxes.sweep(self.turn.now);
+                    if self.clients.count() < self.places.for_clients(self.boxes.descriptors()) {
+                        // What clients leave, nodes may have again.
+                        self.boxes.make_room(self.places, self.clients.count());
+                    }
                     let answer = self.discovery.sweep(self.turn.now);
                     self.discovered(answer);
                     self.stop();
@@ -374,7 +388,7 @@
         self.closed = true;
         // Danger: what the kernel has accepted would be reset with the listener.
         self.clients.knocked();
-        let _ = self.clients.accept(self.turn.registry(), self.turn.now, |key| Source::Client(key).token());
+        let _ = self.accept();
         self.clients.stop(&self.config, &mut self.buffer, self.turn.now);
     }
 
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -781,10 +781,10 @@
 #[test]
 fn without_room_for_connections_idle_ones_make_room() {
     let node = Server::start();
-    // 32 descriptors are kept back; 8 of the others are for clients.
+    // 32 descriptors are kept back; two thirds of the others, 11, are for clients.
     let proxy = Proxy::with(&node, |c| c["limits"]["sockets"] = json!(48));
     let mut clients = Vec::new();
-    for _ in 0..12 {
+    for _ in 0..15 {
         let mut client = proxy.client();
         client.send(encode(&["PING"]));
         assert_eq!(client.line(), "+PONG");
@@ -798,10 +798,38 @@
     }
 }
 
+#[test]
+fn idle_connections_to_nodes_make_room_for_clients_that_ask() {
+    let nodes = Server::many(8);
+    // Of 16 descriptors nodes may have half while there is one client.
+    let proxy = Proxy::with(&nodes, |c| c["limits"]["sockets"] = json!(48));
+    let (mut asking, mut peers) = (proxy.client(), Vec::new());
+    for key in 0..40 {
+        asking.get(key, "read", 15_000);
+        let (i, _) = nodes.any(&mut peers);
+        peers[i].send(hit("v"));
+        assert_eq!(asking.command()[0], "v");
+    }
+    assert!(peers.len() > 5, "{}", peers.len());
+    let mut clients: Vec<Peer> = (0..10).map(|_| proxy.client()).collect();
+    clients.push(asking);
+    for _ in 0..2 {
+        for client in &mut clients {
+            client.send(encode(&["PING"]));
+            assert_eq!(client.line(), "+PONG");
+        }
+    }
+    // Nodes keep a third, so that a request can be sent on.
+    clients[0].get(1, "read", 15_000);
+    let (i, _) = nodes.any(&mut peers);
+    peers[i].send(hit("v"));
+    assert_eq!(clients[0].command()[0], "v");
+}
+
 #[test]
 fn clients_that_ask_once_and_stay_do_not_keep_their_places() {
     let node = Server::start();
-    // 32 descriptors are kept back; 16 of the others are for clients.
+    // 32 descriptors are kept back; two thirds of the others are for clients.
     let proxy = Proxy::with(&node, |c| c["limits"]["sockets"] = json!(64));
     let mut peers = Vec::new();
     let mut ask = |client: &mut Peer| {
