Boxes with several addresses: one race at a time to each, and the size of its hard cases

Need: while connections came up, each might have had a rival, so a box could see twice its cap; and a hundred boxes that lose an address at once, lists that turn round, reload and restart were not tried at that size.

Change: a box has one rival at a time beside its cap; when a race ends, the next connection that has waited its delay begins one.

--- a/crates/proxy/benches/addresses.rs
+++ b/crates/proxy/benches/addresses.rs
@@ -75,9 +75,10 @@
         record
     }
 
-    /// Connections open to all boxes.
-    fn connections(&self) -> usize {
-        self.world.boxes.iter().map(|b| b.connections()).sum()
+    /// Connections open to all boxes, and how many there ever were.
+    fn connections(&self) -> (usize, usize) {
+        let boxes = || self.world.boxes.iter();
+        (boxes().map(|b| b.connections()).sum(), boxes().map(|b| b.opened()).sum())
     }
 }
 
@@ -136,13 +137,14 @@
             let mut record = setting.play(400.0, 0.0, Duration::from_secs(10));
             record.sort_by_key(|a| a.sent);
             let (share, [median, slow, slowest]) = figures(&record);
+            let (open, opened) = setting.connections();
             let ms = |i: usize| (record[i].ended - record[i].sent).as_secs_f64() * 1e3;
             println!(
                 "  run {run}, {name}: served {share:.4}; {median:.1} ms, 1% {slow:.0} ms, 0.1% {slowest:.0} ms; the \
-                 first {:.0} ms, the hundredth {:.0} ms; {} connections at the end",
+                 first {:.0} ms, the hundredth {:.0} ms; {:.4} connections opened a request, {open} at the end",
                 ms(0),
                 ms(99),
-                setting.connections()
+                opened as f64 / record.len() as f64
             );
         }
     }
--- a/crates/proxy/benches/resp3.rs
+++ b/crates/proxy/benches/resp3.rs
@@ -114,9 +114,21 @@
 
 impl Case {
     fn new(program: &std::path::Path, client: Protocol, operator: Option<&str>) -> Case {
+        Case::with(program, client, operator, 1)
+    }
+
+    /// The same with so many addresses a box, all of them well.
+    fn with(program: &std::path::Path, client: Protocol, operator: Option<&str>, dials: usize) -> Case {
         let boxes: Vec<SocketAddr> = (0..4).map(|_| quick_box()).collect();
+        let mut told = config(&boxes);
+        if dials > 1 {
+            for (host, first) in told["known"]["hosts"].as_array_mut().into_iter().flatten().zip(&boxes) {
+                let all = std::iter::once(*first).chain((1..dials).map(|_| quick_box()));
+                host["dials"] = all.map(|a| a.to_string()).collect();
+            }
+        }
         let folder = Folder::new("cost").expect("a folder");
-        let mut proxy = Instance::start(program, &folder.0, &config(&boxes), operator).expect("started");
+        let mut proxy = Instance::start(program, &folder.0, &told, operator).expect("started");
         proxy.ready(PATIENCE).expect("ready");
         let (turn, count) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
         for number in 0..CLIENTS {
@@ -153,6 +165,7 @@
             ("RESP3 client", Case::new(&new, Protocol::Three, None)),
             ("RESP3 box", Case::new(&new, Protocol::Two, Some(GREETED))),
             ("RESP3 both", Case::new(&new, Protocol::Three, Some(GREETED))),
+            ("three addresses", Case::with(&new, Protocol::Two, None, 3)),
             ("RESP2 again", Case::new(&new, Protocol::Two, None)),
         ];
         cases.extend(old.iter().map(|old| ("old RESP2", Case::new(old, Protocol::Two, None))));
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -494,18 +494,43 @@
 
     /// Tries the next address beside the one that is not up, if descriptors allow it.
     pub fn stagger(&mut self, key: usize, serial: u64, now: Nanos) {
-        if self.descriptors() >= self.limit {
+        if self.all.get(key).is_some_and(|c| c.serial == serial) {
+            self.begin_rival(key, now);
+        }
+    }
+
+    /// Dials the next address beside a connection that is not up: one at a time at each node, so that a node never
+    /// sees more than one connection beyond those that it is to have, and within the descriptors.
+    fn begin_rival(&mut self, key: usize, now: Nanos) {
+        let raced = |k: &usize| self.all.get(*k).is_some_and(|c| c.rival.is_some());
+        let Some(node) = self.all.get(key).filter(|c| !c.up).and_then(|c| self.nodes.get(&c.node)) else {
+            return;
+        };
+        if self.descriptors() >= self.limit || node.connections.iter().any(raced) {
             return;
         }
-        let Some(c) = self.all.get_mut(key).filter(|c| c.serial == serial && !c.up) else { return };
-        let Some(node) = self.nodes.get_mut(&c.node).filter(|_| c.rival.is_none()) else { return };
+        let Some(c) = self.all.get_mut(key) else { return };
+        let Some(node) = self.nodes.get_mut(&c.node) else { return };
         c.rival = dial(node, &mut c.race, &self.registry, Source::Rival(key).token(), now);
         self.rivals += usize::from(c.rival.is_some());
     }
 
+    /// A race at a node is over: the next of its connections that has waited long enough may have one.
+    fn next_rival(&mut self, server: ServerId, now: Nanos) {
+        let Some(node) = self.nodes.get(&server) else { return };
+        let waits = |k: &&usize| {
+            self.all.get(**k).is_some_and(|c| {
+                let delay = node.book.delay(c.link.over, Nanos::MAX);
+                !c.up && c.rival.is_none() && c.race.more() && now.saturating_sub(c.link.begun) >= delay
+            })
+        };
+        if let Some(key) = node.connections.iter().find(waits).copied() {
+            self.begin_rival(key, now);
+        }
+    }
+
     /// An attempt to connect failed: the other one goes on, or the next begins.
     fn dial_failed(&mut self, key: usize, rival: bool, now: Nanos) {
-        let room = self.descriptors() < self.limit;
         let Some(c) = self.all.get_mut(key) else { return };
         let Some(node) = self.nodes.get_mut(&c.node) else { return };
         let other = c.rival.take();
@@ -516,8 +541,7 @@
             c.race.failed(id);
         }
         if rival {
-            c.rival = dial(node, &mut c.race, &self.registry, Source::Rival(key).token(), now);
-            self.rivals += usize::from(c.rival.is_some());
+            self.begin_rival(key, now);
             return;
         }
         let token = Source::Box(key).token();
@@ -530,10 +554,7 @@
             }
         }
         // What has failed is followed at once; the delay is for what may yet come up.
-        if room {
-            c.rival = dial(node, &mut c.race, &self.registry, Source::Rival(key).token(), now);
-            self.rivals += usize::from(c.rival.is_some());
-        }
+        self.begin_rival(key, now);
     }
 
     /// The second address of a connection has news; true if it won, and the connection is up.
@@ -693,9 +714,11 @@
             c.up = true;
             c.race.won(c.link.over);
             self.rivals -= usize::from(c.rival.take().is_some());
-            if let Some(node) = self.nodes.get_mut(&c.node) {
+            let server = c.node;
+            if let Some(node) = self.nodes.get_mut(&server) {
                 node.book.up(c.link.over, now.saturating_sub(c.link.begun));
             }
+            self.next_rival(server, now);
         }
         self.flush(key, now);
         for _ in 0..READS {
@@ -984,6 +1007,47 @@
         assert!(boxes.all.is_empty());
     }
 
+    #[test]
+    fn connections_to_a_node_that_come_up_slowly_race_one_at_a_time() {
+        // A full backlog: connections to it stay on their way.
+        let full =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        full.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bound");
+        full.listen(0).expect("listens");
+        let at = full.local_addr().expect("an address").as_socket().expect("ip");
+        let dial = |_| {
+            let s =
+                socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+            s.set_nonblocking(true).expect("set");
+            let _ = s.connect(&at.into());
+            s
+        };
+        let _held: Vec<_> = (0..4).map(dial).collect();
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let poll = mio::Poll::new().expect("a poll");
+        let mut boxes = made(&sample(), &poll);
+        let mut host = host(Entry { server: 7, ..Entry::default() }, &listener);
+        host.dials.insert(0, Address::Tcp(at));
+        boxes.list(&List { version: 1, whole: true, hosts: vec![host] }, 0);
+        let keys: Vec<_> = (0..4).filter_map(|_| boxes.send(7, job(&sample()), 0)).collect();
+        assert_eq!((keys.len(), boxes.rivals), (4, 0));
+        for (key, begun) in &keys {
+            boxes.stagger(*key, begun.expect("new").serial, 300 * MS);
+        }
+        assert_eq!((boxes.rivals, boxes.descriptors()), (1, 5));
+        // Each that comes up over the second address lets the next begin, and the first address is passed over.
+        for (i, (key, _)) in keys.iter().enumerate() {
+            let begun = Instant::now();
+            while !boxes.rival_ready(*key, 310 * MS) {
+                assert!(begun.elapsed() < Duration::from_secs(20), "the race of {i} does not end");
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            boxes.ready(*key, false, &mut [0; 64], 310 * MS);
+            assert_eq!(boxes.rivals, usize::from(i < 3), "after {i}");
+        }
+        assert!(boxes.all.iter().all(|(_, c)| c.up));
+    }
+
     #[test]
     fn an_attempt_that_waits_for_its_turn_does_not_go_to_a_node_drained_meanwhile() {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
--- a/crates/proxy/tests/world.rs
+++ b/crates/proxy/tests/world.rs
@@ -227,3 +227,80 @@
     // Where the module had not left a box before, the next address was taken.
     assert!(moved > 0);
 }
+
+#[test]
+fn half_of_a_hundred_boxes_lose_their_first_address_at_once_and_pay_few_handshakes() {
+    const BOXES: usize = 100;
+    const PROXIES: usize = 2;
+    let ms = Duration::from_millis;
+    let mut config = WorldConfig::new(51, BOXES, PROXIES);
+    config.boxes.iter_mut().for_each(|b| b.doors = vec![Entrance::Six]);
+    let setting = start(config);
+    let script =
+        (0..BOXES / 2).fold(Script::new(), |s, i| s.for_good(ms(1_500), Fault::Door(2 * i, 0, Manner::Deaf)));
+    setting.world.play(script);
+    let mut load = Load::new(200.0, setting.front());
+    load.writes = 0.1;
+    let load = setting.world.load(load);
+    let opened = || -> Vec<usize> { setting.world.boxes.iter().map(|b| b.opened()).collect() };
+    std::thread::sleep(ms(1_500));
+    let before = opened();
+    std::thread::sleep(ms(1_000));
+    let after = opened();
+    std::thread::sleep(ms(1_500));
+    let (served, asked) = setting.rules_hold(&load);
+    let most = before.iter().zip(&after).map(|(b, a)| a - b).max().unwrap_or(0);
+    let all: usize = before.iter().zip(&after).map(|(b, a)| a - b).sum();
+    println!(
+        "{served} of {asked}; in the second after, {all} connections opened, {most} at one box at the most"
+    );
+    assert!(served * 100 >= asked * 85, "{served} of {asked}");
+    // Each proxy has eight connections to a box at the most, one rival beside them, and tries the dead one once.
+    assert!(most <= PROXIES * 10, "{most} connections opened at one box in a second");
+}
+
+#[test]
+fn lists_that_turn_round_a_reload_and_a_restart_in_the_middle_move_nothing_that_should_stay() {
+    let ms = Duration::from_millis;
+    let mut config = WorldConfig::new(52, 12, 2);
+    config.boxes.iter_mut().for_each(|b| b.doors = vec![Entrance::Six, Entrance::Unix]);
+    let mut setting = start(config);
+    setting.world.play(Script::new().then(ms(700), ms(900), Fault::Door(0, 0, Manner::Mute)));
+    let mut load = Load::new(120.0, setting.front());
+    load.writes = 0.5;
+    let load = setting.world.load(load);
+    let opened = || -> usize { setting.world.boxes.iter().map(|b| b.opened()).sum() };
+    std::thread::sleep(ms(600));
+    let before = opened();
+    for turn in 0..6 {
+        setting.world.discovery.turn_dials();
+        if turn == 2 {
+            setting.proxies.iter().for_each(|p| p.signal("-HUP").expect("signalled"));
+        }
+        std::thread::sleep(ms(300));
+    }
+    let turned = opened() - before;
+    let (served, asked) = setting.rules_hold(&load);
+    assert!(served * 10 >= asked * 9, "{served} of {asked}");
+    // Another order is no other list: connections stay, whatever their address's rank.
+    assert!(turned < asked / 3, "{turned} connections for {asked} tries");
+    for one in &setting.world.boxes {
+        let mut by = std::collections::HashMap::new();
+        for seen in one.record().into_iter().filter(|s| s.write.is_some()) {
+            let first = *by.entry(seen.id.clone()).or_insert(seen.door);
+            assert_eq!(first, seen.door, "{seen:?}");
+        }
+    }
+    // Started anew with an old list, they serve at once.
+    for proxy in &mut setting.proxies {
+        proxy.kill_and_start().expect("started");
+        proxy.ready(PATIENCE).expect("ready");
+    }
+    // Reads alone: a load of the same world names its writes as the first one did.
+    let mut reads = Load::new(120.0, setting.front());
+    reads.writes = 0.0;
+    let load = setting.world.load(reads);
+    std::thread::sleep(ms(800));
+    let (served, asked) = setting.rules_hold(&load);
+    assert!(asked > 40 && served * 10 >= asked * 9, "{served} of {asked}");
+}
--- a/crates/testkit/src/world/boxes.rs
+++ b/crates/testkit/src/world/boxes.rs
@@ -11,6 +11,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -131,6 +132,7 @@
     rng: Mutex<fastrand::Rng>,
     /// Waiting requests, and connections.
     load: Mutex<(usize, usize)>,
+    opened: AtomicUsize,
     /// Fetches that are out, for those that want the same key.
     fetching: Mutex<HashMap<u64, Arc<Notify>>>,
 }
@@ -172,6 +174,7 @@
             recent: Mutex::default(),
             rng: Mutex::new(fastrand::Rng::with_seed(seed)),
             load: Mutex::default(),
+            opened: AtomicUsize::new(0),
             fetching: Mutex::default(),
             config,
         }
@@ -236,6 +239,11 @@
         *lock(&self.born)
     }
 
+    /// How many connections there ever were.
+    pub fn opened(&self) -> usize {
+        self.opened.load(Ordering::Relaxed)
+    }
+
     /// How many connections it has.
     pub fn connections(&self) -> usize {
         lock(&self.load).1
@@ -289,6 +297,7 @@
         }
         spawn_local(async move {
             lock(&self.load).1 += 1;
+            self.opened.fetch_add(1, Ordering::Relaxed);
             let mut changed = self.changed.subscribe();
             let gone = async { while !self.gone() && changed.changed().await.is_ok() {} };
             tokio::select! {
--- a/crates/testkit/src/world/discovery.rs
+++ b/crates/testkit/src/world/discovery.rs
@@ -150,6 +150,18 @@
         self.version.send_replace(version);
     }
 
+    /// Turns the order of all boxes' addresses round.
+    pub fn turn_dials(&self) {
+        let mut entries = lock(&self.entries);
+        let version = *self.version.borrow() + 1;
+        for entry in entries.iter_mut() {
+            entry.dials.iter_mut().flatten().for_each(|dials| dials.reverse());
+            entry.version = version;
+        }
+        drop(entries);
+        self.version.send_replace(version);
+    }
+
     /// A box's process started anew.
     pub fn reborn(&self, name: &str) {
         if let Some(entry) = lock(&self.entries).iter_mut().find(|e| e.name == name) {
