One predicate for a value that is passed on, one full backlog for tests

Found on reading the change again: pause and stop_passing asked in two ways whether a connection passes on an answer; a called-off attempt cleared a pause that can't be set by then (once its first part is handed on, no attempt is left to call off); and two tests built the same full backlog. Now each stands once. No behaviour changes, and the tests keep their assertions.

--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -612,7 +612,6 @@
             c.live -= 1;
             // What of a long value is still to come is dropped.
             c.passing &= at > 0;
-            c.paused &= at > 0;
             was_sent = true;
         } else {
             return false;
@@ -850,11 +849,15 @@
         part.tail
     }
 
+    /// The connection, if it passes on this request's answer.
+    fn passing(&mut self, key: usize, id: RequestId) -> Option<&mut Connection> {
+        let of = |c: &Connection| c.sent.front().copied().flatten().is_some_and(|(first, _)| first == id);
+        self.all.get_mut(key).filter(|c| c.passing && of(c))
+    }
+
     /// Reads nothing more of a connection for now, or goes on.
     pub fn pause(&mut self, key: usize, id: RequestId, paused: bool, now: Nanos) {
-        let passes =
-            |c: &&mut Connection| c.passing && c.sent.front().is_some_and(|s| s.is_some_and(|s| s.0 == id));
-        let Some(c) = self.all.get_mut(key).filter(passes) else { return };
+        let Some(c) = self.passing(key, id) else { return };
         if std::mem::replace(&mut c.paused, paused) && !paused {
             c.heard = now;
             self.again.push(key);
@@ -863,8 +866,7 @@
 
     /// Gives up a long value that nobody waits for any more.
     pub fn stop_passing(&mut self, key: usize, id: RequestId) {
-        let c = self.all.get(key).filter(|c| c.passing);
-        if c.and_then(|c| c.sent.front().copied().flatten()).is_some_and(|s| s.0 == id) {
+        if self.passing(key, id).is_some() {
             self.close(key);
         }
     }
@@ -1009,20 +1011,7 @@
 
     #[test]
     fn connections_to_a_node_that_come_up_slowly_race_one_at_a_time() {
-        // A full backlog: connections to it stay on their way.
-        let full =
-            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-        full.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bound");
-        full.listen(0).expect("listens");
-        let at = full.local_addr().expect("an address").as_socket().expect("ip");
-        let dial = |_| {
-            let s =
-                socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-            s.set_nonblocking(true).expect("set");
-            let _ = s.connect(&at.into());
-            s
-        };
-        let _held: Vec<_> = (0..4).map(dial).collect();
+        let (at, _held) = testkit::scripted::full_backlog();
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
         let poll = mio::Poll::new().expect("a poll");
         let mut boxes = made(&sample(), &poll);
--- a/crates/proxy/tests/addresses.rs
+++ b/crates/proxy/tests/addresses.rs
@@ -233,21 +233,7 @@
 
 #[test]
 fn an_address_that_never_comes_up_is_raced_by_the_next() {
-    // A full backlog: connections to it stay on their way.
-    let full = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    full.bind(&any.into()).expect("bound");
-    full.listen(0).expect("listens");
-    let at = full.local_addr().expect("an address").as_socket().expect("ip");
-    let _held: Vec<_> = (0..4)
-        .map(|_| {
-            let s =
-                socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-            s.set_nonblocking(true).expect("set");
-            let _ = s.connect(&at.into());
-            s
-        })
-        .collect();
+    let (at, _held) = full_backlog();
     let node = Server::start();
     let dials = [at.to_string(), node.addresses[0].to_string()];
     let proxy = proxy(&dials, NONE, |c| c["settings"]["caps"]["attempts_cap"] = json!(1));
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -232,6 +232,24 @@
     }
 }
 
+/// An address whose backlog is full: connections to it stay on their way for as long as the sockets are kept.
+pub fn full_backlog() -> (SocketAddr, Vec<socket2::Socket>) {
+    let socket =
+        || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let full = socket();
+    full.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bound");
+    full.listen(0).expect("listens");
+    let at = full.local_addr().expect("an address").as_socket().expect("ip");
+    let mut held = vec![full];
+    for _ in 0..4 {
+        let dialled = socket();
+        dialled.set_nonblocking(true).expect("set");
+        let _ = dialled.connect(&at.into());
+        held.push(dialled);
+    }
+    (at, held)
+}
+
 /// A request id that no other request has.
 fn new_id() -> String {
     static NEXT: AtomicU32 = AtomicU32::new(1);
