Attempts written in one go a turn, placed by a crate of its own: pipeline

Need: issue "Pipelining and its tail". A connection was filled by one fixed preference in the middle of the socket code, the model had the same preference a second time, and each command was a write of its own.

Change: crates/pipeline (no I/O) keeps the commands of a connection (waiting, being written, sent, called off), says of each what may have run when the connection ends, keeps what boxes were measured to take, and chooses the connection: `fixed` as before, or `expected` by the time to the answer. Proxy and model host both use it; their own copies are gone. Commands that become ready in one turn leave in one write of up to 64 KiB. What the socket does not take is not begun: it waits again and is looked at anew (drain, list, time). A rested connection is looked at once a batch instead of once an attempt; if bytes wait on it, what was to go there is moved. What waits for a connection that is not up takes one that becomes free first.

--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -108,6 +108,10 @@
     pub most_connections: usize,
     /// Requests on a connection at once.
     pub streams: usize,
+    /// How a proxy chooses among its connections to a box.
+    pub placing: Placing,
+    /// A connection whose head is older than this part of its heads were takes nothing new; 1: whatever its age.
+    pub head_quantile: f64,
     /// Connections that carry nothing are closed after this.
     pub idle_s: f64,
     /// A connection that takes longer has failed.
@@ -132,6 +136,8 @@
             box_connections: 24,
             most_connections: 8,
             streams: 8,
+            placing: Placing::Fixed,
+            head_quantile: 1.0,
             idle_s: 5.0,
             connect_timeout_ms: 300.0,
             max_attempts: 5,
@@ -140,6 +146,29 @@
     }
 }
 
+/// How a proxy chooses among its connections to a box.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Placing {
+    /// An idle one, else a new one, else the least busy.
+    #[default]
+    Fixed,
+    /// The one on which the answer is expected first.
+    Expected,
+}
+
+impl Topology {
+    /// The same, as the library that chooses wants it.
+    pub fn pipes(&self) -> pipeline::Limits {
+        let placing = match self.placing {
+            Placing::Fixed => pipeline::Placing::Fixed,
+            Placing::Expected => pipeline::Placing::Expected,
+        };
+        let depth = [self.streams; 2];
+        pipeline::Limits { placing, depth, head_quantile: self.head_quantile, ..pipeline::Limits::default() }
+    }
+}
+
 /// A machine type of boxes.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default)]
@@ -529,6 +558,7 @@
         c.whole("topology.box_connections", t.box_connections, 1, 10_000);
         c.whole("topology.most_connections", t.most_connections, 1, 1_000);
         c.whole("topology.streams", t.streams, 1, 1_024);
+        c.float("topology.head_quantile", t.head_quantile, 0.5, 1.0);
         c.float("topology.idle_s", t.idle_s, 0.01, LONGEST_S);
         c.float("topology.connect_timeout_ms", t.connect_timeout_ms, 1.0, 60_000.0);
         c.whole("topology.max_attempts", t.max_attempts as usize, 1, 16);
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -202,6 +202,8 @@
     origin: Origin,
     /// A connection that was idle for so long is not used again.
     pub idle_after: Nanos,
+    /// How connections to boxes are chosen.
+    pub pipes: pipeline::Limits,
     arrivals: Arrivals<'a>,
     clients: Chance,
     work: Chance,
@@ -248,6 +250,7 @@
             discovery: Discovery::new(&scenario.discovery),
             origin: Origin::new(&scenario.origin),
             idle_after: (seconds(t.idle_s) as f64 * IDLE_PART) as Nanos,
+            pipes: t.pipes(),
             arrivals: Arrivals::new(scenario, seed),
             clients: Chance::new(seed, 2),
             work: Chance::new(seed, 4),
@@ -1019,7 +1022,7 @@
                 let Some(c) = &mut self.connections[connection] else { return };
                 (c.up, c.crowded) = (true, crowded);
                 let proxy = c.proxy;
-                self.flush(connection);
+                self.connected(connection);
                 self.decide(proxy);
             }
             Ev::Lost { connection, serial } if is(self, connection, serial) => {
--- /dev/null
+++ b/crates/pipeline/src/times.rs
@@ -0,0 +1,139 @@
+//! What boxes were measured to take.
+
+use crate::{Lane, Nanos};
+
+/// The shortest time that is told apart.
+const SHORTEST: Nanos = 64_000;
+/// Two classes an octave, from 64 us to 4 s.
+const CLASSES: usize = 33;
+/// Beyond so many, older ones count half.
+const KEPT: u16 = 512;
+/// From so many outcomes on, a time is known.
+const EVIDENCE: u16 = 8;
+
+/// Times, counted in classes that grow by the square root of two; old ones fade as new ones come.
+/// 68 bytes.
+#[derive(Clone, Debug)]
+pub struct History {
+    counts: [u16; CLASSES],
+    all: u16,
+}
+
+impl Default for History {
+    fn default() -> Self {
+        History::NONE
+    }
+}
+
+/// The upper end of a class.
+fn end(class: usize) -> Nanos {
+    let octave = SHORTEST << (class / 2);
+    if class.is_multiple_of(2) {
+        octave
+    } else {
+        octave + octave * 53 / 128
+    }
+}
+
+/// A time that stands for a class.
+fn middle(class: usize) -> Nanos {
+    end(class) - end(class) / 7
+}
+
+impl History {
+    /// Nothing seen.
+    pub const NONE: History = History { counts: [0; CLASSES], all: 0 };
+
+    /// Takes one more.
+    pub fn add(&mut self, time: Nanos) {
+        let class = (0..CLASSES).find(|c| time <= end(*c)).unwrap_or(CLASSES - 1);
+        self.counts[class] += 1;
+        self.all += 1;
+        if self.all > KEPT {
+            self.counts.iter_mut().for_each(|n| *n /= 2);
+            self.all = self.counts.iter().sum();
+        }
+    }
+
+    /// From how many it speaks.
+    pub fn evidence(&self) -> u16 {
+        self.all
+    }
+
+    /// The time that this part of them does not pass; nothing where there are too few to say.
+    pub fn quantile(&self, part: f64) -> Option<Nanos> {
+        // Of ten times none says where the 99th percentile is.
+        if self.all < EVIDENCE || f64::from(self.all) * (1.0 - part) < 0.5 {
+            return None;
+        }
+        let wanted = f64::from(self.all) * part;
+        let mut sum = 0.0;
+        for (class, n) in self.counts.iter().enumerate() {
+            sum += f64::from(*n);
+            if sum >= wanted {
+                return Some(end(class));
+            }
+        }
+        Some(end(CLASSES - 1))
+    }
+
+    /// How much longer something takes that has taken so long: the mean of what longer ones took beyond it. What has
+    /// outlasted all that was seen is expected to take as long again. Nothing without evidence.
+    pub fn remaining(&self, age: Nanos) -> Option<Nanos> {
+        if self.all < EVIDENCE {
+            return None;
+        }
+        let (mut n, mut sum) = (0.0, 0.0);
+        for (class, count) in self.counts.iter().enumerate().filter(|(c, _)| middle(*c) > age) {
+            n += f64::from(*count);
+            sum += f64::from(*count) * (middle(class) - age) as f64;
+        }
+        Some(if n < 0.5 { age } else { (sum / n) as Nanos })
+    }
+}
+
+/// What one box was measured to take, over all connections to it.
+#[derive(Clone, Debug, Default)]
+pub struct Times {
+    /// From the last byte of a command to its answer, where nothing stood before it: of reads and of writes.
+    alone: [History; 2],
+    /// From one answer to the next, where the later command stood behind: nearly nothing at a box that works on the
+    /// commands of a connection at once, a whole service time at one that takes them one by one.
+    gaps: History,
+    /// From the first packet of a connection until it is up.
+    connects: History,
+}
+
+impl Times {
+    /// Nothing seen.
+    pub const NONE: Times = Times { alone: [History::NONE; 2], gaps: History::NONE, connects: History::NONE };
+
+    /// An answer came.
+    pub fn answered(&mut self, lane: Lane, behind: bool, took: Nanos, as_head: Nanos) {
+        if behind {
+            self.gaps.add(as_head);
+        } else {
+            self.alone[usize::from(lane.write)].add(took);
+        }
+    }
+
+    /// A connection came up after so long.
+    pub fn connected(&mut self, took: Nanos) {
+        self.connects.add(took);
+    }
+
+    /// What heads took, of this kind.
+    pub fn alone(&self, lane: Lane) -> &History {
+        &self.alone[usize::from(lane.write)]
+    }
+
+    /// What the next took after one was answered.
+    pub fn gap(&self) -> Nanos {
+        self.gaps.remaining(0).unwrap_or(0)
+    }
+
+    /// What connections took to come up.
+    pub fn connects(&self) -> &History {
+        &self.connects
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/boxes/choose.rs
@@ -0,0 +1,127 @@
+//! Which connection an attempt goes by: what the choice is made from, and what follows from it. The choice itself is
+//! `pipeline`'s.
+
+use super::connection::Connection;
+use super::node::Node;
+use super::{Begun, Boxes, Job, News};
+use addresses::Id;
+use calicosaddle::api::{Nanos, ServerId, Status};
+use pipeline::{Ask, Command, Place, Seen};
+
+impl Boxes {
+    /// Sends an attempt: it will be written at the end of this step of the loop, or when its connection is up.
+    /// Returns the connection, and what it is if it is new; nothing if the attempt ended at once.
+    pub fn send(&mut self, server: ServerId, job: Job, now: Nanos) -> Option<(usize, Option<Begun>)> {
+        if !self.nodes.contains_key(&server) {
+            self.end(job, Status::Moot);
+            return None;
+        }
+        let Some((key, new)) = self.place(server, &job, now) else {
+            self.end(job, Status::ConnectFailed);
+            return None;
+        };
+        self.put(key, job);
+        Some((key, new))
+    }
+
+    /// Puts an attempt on a connection.
+    fn put(&mut self, key: usize, job: Job) {
+        let c = &mut self.all[key];
+        c.pipe.push(job);
+        if c.up && !c.dirty {
+            c.dirty = true;
+            self.dirty.push(key);
+        }
+    }
+
+    /// The address that a write has to go over.
+    ///
+    /// Danger: a write that may have arrived over one address of a node would be another one over the next, should
+    /// the node know repeats by where they come in. It goes over the same address or not at all.
+    fn only(&self, node: &Node, job: &Job) -> Option<Id> {
+        let gone = job.query.gone_over.borrow();
+        let gone = gone.iter().find(|(s, _)| *s == node.entry.server).map(|(_, over)| *over);
+        gone.filter(|_| !self.across && node.book.len() > 1)
+    }
+
+    /// The connection for an attempt, opened if need be.
+    fn place(&mut self, server: ServerId, job: &Job, now: Nanos) -> Option<(usize, Option<Begun>)> {
+        let node = self.nodes.get(&server)?;
+        // One that passes on a long value is held by its client's pace and carries nothing else meanwhile.
+        let passing = |k: &&usize| self.all.get(**k).is_some_and(|c| c.passing);
+        let held = node.connections.iter().filter(passing).count().min(self.per_node);
+        let room = node.connections.len() - held < self.per_node;
+        let only = self.only(node, job);
+        match self.choose(node, job, only, room, now) {
+            Place::Idle(key) | Place::Behind(key) => return Some((key, None)),
+            Place::Full => return None,
+            Place::New => {}
+        }
+        if let (Some(key), new) = self.open(server, only, job, now) {
+            return Some((key, new));
+        }
+        // There are no descriptors, or it can't be dialled.
+        match self.choose(self.nodes.get(&server)?, job, only, false, now) {
+            Place::Idle(key) | Place::Behind(key) => Some((key, None)),
+            Place::New | Place::Full => None,
+        }
+    }
+
+    fn choose(&self, node: &Node, job: &Job, only: Option<Id>, room: bool, now: Nanos) -> Place<usize> {
+        let lane = job.lane();
+        let seen = node.connections.iter().filter_map(|key| {
+            let c = self.all.get(*key).filter(|c| c.takes(self.fresh, now))?;
+            // One that is not up yet may come up over any address.
+            let fits = if c.up { node.fits(c, only) } else { only.is_none() };
+            fits.then(|| Seen {
+                key: *key,
+                up: c.up,
+                since: if c.up { c.moved } else { c.link.begun },
+                depth: c.depth(),
+                head_age: c.pipe.head_age(now),
+                history: c.pipe.history(),
+                same_lane: c.pipe.is_of(lane),
+            })
+        });
+        pipeline::place(&Ask { lane, aim: job.aim, room }, seen, node.times(), &self.pipes, now)
+    }
+
+    /// Finds other connections for attempts of which no byte was written.
+    pub(super) fn displace(&mut self, server: ServerId, jobs: impl IntoIterator<Item = Job>, now: Nanos) {
+        for job in jobs {
+            let (id, attempt) = job.tag();
+            if let Some((key, new)) = self.send(server, job, now) {
+                self.moved(server, id, attempt, key, new);
+            }
+        }
+    }
+
+    fn moved(&mut self, server: ServerId, id: u64, attempt: u32, key: usize, new: Option<Begun>) {
+        if let Some(node) = self.nodes.get_mut(&server) {
+            node.moved += 1;
+        }
+        self.news.push_back(News::Moved(id, attempt, key, new));
+    }
+
+    /// A connection has nothing to do any more: it takes what waits longest for one that is not up yet.
+    pub(super) fn relieve(&mut self, key: usize, now: Nanos) {
+        let free = |c: &&Connection| c.up && c.depth() == 0 && c.takes(self.fresh, now);
+        let Some(c) = self.all.get(key).filter(free) else { return };
+        let Some(node) = self.nodes.get(&c.node) else { return };
+        let waits = |k: &&usize| self.all.get(**k).is_some_and(|c| !c.up && c.pipe.waits());
+        let slow = node.connections.iter().filter(waits).min_by_key(|k| self.all[**k].link.begun);
+        let Some(slow) = slow.copied() else { return };
+        let (server, up) = (c.node, c.link.over);
+        let Some(job) = self.all[slow].pipe.take() else { return };
+        let only = self.nodes.get(&server).and_then(|n| self.only(n, &job));
+        let fits = self.nodes.get(&server).is_some_and(|n| n.fits(&self.all[key], only));
+        debug_assert!(only.is_none_or(|id| id == up) || !fits);
+        if !fits {
+            self.all[slow].pipe.untake(job);
+            return;
+        }
+        let (id, attempt) = job.tag();
+        self.put(key, job);
+        self.moved(server, id, attempt, key, None);
+    }
+}
--- a/crates/proxy/src/boxes/connection.rs
+++ b/crates/proxy/src/boxes/connection.rs
@@ -4,10 +4,13 @@
 use crate::request::Query;
 use addresses::Race;
 use calicosaddle::api::{Nanos, RequestId, ServerId};
+use pipeline::{Lane, Pipe};
 use resp::{Greeting, Protocol, ReplyReader};
-use std::collections::VecDeque;
 use std::rc::Rc;
 
+/// A longer write goes out from where it lies instead of being copied behind its command.
+const COPIED: usize = 16 << 10;
+
 /// One attempt, as it waits to be written.
 #[derive(Debug)]
 pub struct Job {
@@ -17,19 +20,22 @@
     pub attempt: u32,
     /// What the client sent.
     pub query: Rc<Query>,
+    /// When its answer should be there.
+    pub aim: Nanos,
     /// When the proxy stops waiting.
     pub until: Nanos,
 }
 
-/// The command that is being written.
-#[derive(Debug)]
-pub struct Writing {
-    /// The attempt.
-    pub job: Job,
-    /// How much of it is written, the value and the last line end counted.
-    pub written: usize,
-    /// The command up to a long value lies in `out`; the value itself stays where it is.
-    pub long: bool,
+impl pipeline::Command for Job {
+    type Tag = (RequestId, u32);
+
+    fn tag(&self) -> Self::Tag {
+        (self.id, self.attempt)
+    }
+
+    fn lane(&self) -> Lane {
+        Lane { write: self.query.write, long: self.query.value().len() > COPIED }
+    }
 }
 
 /// A connection to a cache node.
@@ -46,16 +52,14 @@
     pub serial: u64,
     /// It has come up.
     pub up: bool,
-    /// Attempts that wait for their turn to be written.
-    pub queue: VecDeque<Job>,
-    /// The command being written.
+    /// The attempts on it.
+    pub pipe: Pipe<Job>,
+    /// The commands being written, all but a long value at their end.
     pub out: Vec<u8>,
-    /// How far that is.
-    pub writing: Option<Writing>,
-    /// Attempts that await their replies, in order; `None` for those that are over, whose replies are dropped.
-    pub sent: VecDeque<Option<(RequestId, u32)>>,
-    /// How many of them are not over.
-    pub live: usize,
+    /// That value stays where it is.
+    pub long: Option<Rc<Query>>,
+    /// It is among those that will be written to.
+    pub dirty: bool,
     /// It is greeted in RESP3 together with the first attempt.
     pub greets: bool,
     /// Reads the answer to the greeting, once that is sent and until it has come.
@@ -68,8 +72,6 @@
     pub moved: Nanos,
     /// When anything last came on it.
     pub heard: Nanos,
-    /// When an attempt was last written to its end.
-    pub wrote: Nanos,
     /// Something has come on it that is not read yet.
     pub unread: bool,
     /// How long it had been idle before the attempt that was written last; 0 if it was not.
@@ -85,7 +87,7 @@
 impl Connection {
     /// Attempts on it, those that are over counted.
     pub fn depth(&self) -> usize {
-        self.queue.len() + usize::from(self.writing.is_some()) + self.sent.len()
+        self.pipe.depth()
     }
 
     /// Something on it has begun and not ended.
@@ -98,8 +100,12 @@
         self.reader.protocol() == Protocol::Three
     }
 
-    /// Nobody waits for anything on it.
-    pub fn deserted(&self) -> bool {
-        self.queue.is_empty() && self.writing.is_none() && self.live == 0
+    /// Nothing is under way on it that something new could disturb, or that could hold up something new for good.
+    pub fn takes(&self, fresh: Nanos, now: Nanos) -> bool {
+        if self.up && self.depth() == 0 {
+            now.saturating_sub(self.moved) < fresh && !self.unread && !self.midway()
+        } else {
+            !self.passing && !self.pipe.haunted()
+        }
     }
 }
--- a/crates/proxy/src/boxes/node.rs
+++ b/crates/proxy/src/boxes/node.rs
@@ -3,6 +3,7 @@
 use super::connection::Connection;
 use addresses::{Book, Id};
 use calicosaddle::api::{Entry, Nanos, State};
+use pipeline::Times;
 use resp::Protocol;
 
 /// Greetings that may be left unanswered in a row before a node is taken for one that can't read them.
@@ -31,6 +32,13 @@
     pub book: Book,
     /// The connections to it.
     pub connections: Vec<usize>,
+    /// What it was measured to take, once there was anything to measure.
+    measured: Option<Box<Times>>,
+    /// Attempts moved to another connection before a byte of them was written.
+    pub moved: u64,
+    /// Connections that ended with attempts on them, and how many of these may have run.
+    pub breaks: u64,
+    pub uncertain: u64,
 }
 
 impl Node {
@@ -48,9 +56,23 @@
             unheard: 0,
             book,
             connections: Vec::new(),
+            measured: None,
+            moved: 0,
+            breaks: 0,
+            uncertain: 0,
         }
     }
 
+    /// What it was measured to take.
+    pub fn times(&self) -> &Times {
+        self.measured.as_deref().unwrap_or(&Times::NONE)
+    }
+
+    /// The same, to add to.
+    pub fn measured(&mut self) -> &mut Times {
+        self.measured.get_or_insert_default()
+    }
+
     /// Takes work: discovery and the operators both say so.
     pub fn takes(&self) -> bool {
         self.entry.state == State::Ready && !self.withdrawn
--- /dev/null
+++ b/crates/proxy/src/boxes/write.rs
@@ -0,0 +1,143 @@
+//! Writing to cache nodes: all that waits on a connection leaves in one go, each attempt checked when its turn comes.
+
+use super::{Boxes, News, KEPT, MS};
+use calicosaddle::api::{Nanos, Status};
+use resp::{Greeting, Reply};
+use std::io::{self, IoSlice, Write};
+
+/// Commands are put together up to so many bytes.
+pub const BATCH: usize = 64 << 10;
+
+impl Boxes {
+    /// Writes to the connections that something was put on; true if there was one.
+    ///
+    /// Guards against bytes that nobody asked for: each connection that rested is looked at before it is used again,
+    /// whatever the loop has heard of it so far, since what is there would pass for the next answer. It should catch
+    /// ends that are not yet known as well. It costs a system call for each batch. In RESP3 the bytes may be a push:
+    /// they are read first, and a connection that has more of them than that is left alone until the loop has.
+    pub fn write(&mut self, now: Nanos) -> bool {
+        let any = !self.dirty.is_empty();
+        while let Some(key) = self.dirty.pop() {
+            let Some(c) = self.all.get_mut(key) else { continue };
+            if !std::mem::take(&mut c.dirty) {
+                // Another connection has come to this place since, or it was written to.
+                continue;
+            }
+            if c.pipe.sent() > 0 || c.pipe.midway() || !c.pipe.waits() || c.link.socket.is_quiet() {
+                self.flush(key, now);
+                continue;
+            }
+            let (server, mut jobs) = (c.node, c.pipe.strand());
+            if !c.speaks_three() {
+                self.close(key);
+                self.displace(server, jobs, now);
+                continue;
+            }
+            self.read(key, false, &mut [0; 4 << 10], now);
+            if let Some(c) = self.all.get_mut(key) {
+                c.unread = !c.link.socket.is_quiet();
+                if !c.unread && !c.midway() {
+                    jobs.drain(..).for_each(|job| c.pipe.push(job));
+                    self.flush(key, now);
+                }
+            }
+            self.displace(server, jobs, now);
+        }
+        any
+    }
+
+    /// Writes what the socket takes.
+    pub(super) fn flush(&mut self, key: usize, now: Nanos) {
+        while let Some(c) = self.all.get_mut(key) {
+            if !c.pipe.midway() && !self.fill(key, now) {
+                return;
+            }
+            let Some(c) = self.all.get_mut(key) else { return };
+            let value = c.long.as_ref().map_or(&[][..], |query| query.value());
+            let end = if c.long.is_some() { &b"\r\n"[..] } else { &[] };
+            let mut skip = c.pipe.batch().1;
+            let parts = [&c.out[..], value, end].map(|part| {
+                let n = skip.min(part.len());
+                skip -= n;
+                IoSlice::new(&part[n..])
+            });
+            let wrote = match c.long {
+                Some(_) => c.link.socket.write_vectored(&parts),
+                None => c.link.socket.write(&parts[0]),
+            };
+            match wrote {
+                Ok(n) => {
+                    c.moved = now;
+                    let (place, written) = ((c.node, c.link.over), &mut self.written);
+                    c.pipe.wrote(n, now, |job| {
+                        *written += 1;
+                        if job.query.write {
+                            job.query.gone_over.borrow_mut().push(place);
+                        }
+                    });
+                    if !c.pipe.midway() {
+                        c.long = None;
+                        c.out.clear();
+                        c.out.shrink_to(KEPT);
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    // What is not begun is looked at again when there is room.
+                    let left = c.pipe.unbegin();
+                    if left <= c.out.len() {
+                        c.out.truncate(left);
+                        c.long = None;
+                    }
+                    return;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => {
+                    self.close(key);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Puts the next commands together; false if none is left.
+    fn fill(&mut self, key: usize, now: Nanos) -> bool {
+        let Some(c) = self.all.get_mut(key) else { return false };
+        c.out.clear();
+        while c.out.len() < self.batch && c.long.is_none() {
+            let Some(job) = c.pipe.take() else { break };
+            let node = self.nodes.get_mut(&c.node);
+            let ready = node.as_ref().is_some_and(|n| n.takes());
+            let listed = node.as_ref().is_some_and(|n| n.book.address(c.link.over).is_some());
+            // Danger: while it waited, its node may have begun to drain or moved, and its time may have gone by.
+            if !ready || !listed || job.until <= now {
+                let status = if ready { Status::ConnectFailed } else { Status::Moot };
+                self.news.push_back(News::Ended(job.id, job.attempt, status, Reply::default()));
+                continue;
+            }
+            if !c.pipe.midway() {
+                // A connection that has just come up has not been idle.
+                c.rested = if c.used && c.pipe.sent() == 0 { now.saturating_sub(c.moved) } else { 0 };
+            }
+            let before = c.out.len();
+            if std::mem::take(&mut c.greets) {
+                // Together with the first request, so that it costs no round trip.
+                c.out.extend(self.hello.iter().flatten());
+                c.greeting = Some(Greeting::default());
+            }
+            job.query.encode(((job.until - now) / MS).max(1), &mut c.out);
+            let long = pipeline::Command::lane(&job).long;
+            if job.query.write && !long {
+                c.out.extend_from_slice(job.query.value());
+                c.out.extend_from_slice(b"\r\n");
+            }
+            let rest = if long { job.query.value().len() + 2 } else { 0 };
+            c.long = long.then(|| job.query.clone());
+            c.pipe.begin(job, c.out.len() - before + rest);
+            if let Some(node) = node {
+                node.sent += 1;
+                node.sent_leaving += u64::from(node.leaving.is_some());
+            }
+        }
+        c.pipe.midway()
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -205,6 +205,7 @@
             self.settle();
         }
         self.run_timers();
+        self.write();
         for event in events {
             match Source::of(event) {
                 Source::Listener => self.clients.knocked(),
@@ -237,6 +238,7 @@
             self.clients.read(key, closed(event), &self.config, &mut self.buffer, self.turn.now);
             self.settle();
         }
+        self.write();
         if self.accept().is_err() {
             // Danger: without a pause the loop would spin on a listener that it can't accept from.
             self.turn.timers.set(self.turn.now + ACCEPT_PAUSE, Due::Accept);
@@ -255,8 +257,17 @@
         self.controlled();
         self.clients.admit(&self.config, self.turn.now);
         self.settle();
+        self.write();
         self.clients.flush_all(self.turn.now);
         self.settle();
+        self.write();
+    }
+
+    /// Writes to cache nodes what became ready since: all that one connection has in one go.
+    fn write(&mut self) {
+        while self.boxes.write(self.turn.now) {
+            self.settle();
+        }
     }
 
     /// Accepts clients, each with what places there are by then.
--- a/crates/proxy/src/life.rs
+++ b/crates/proxy/src/life.rs
@@ -120,8 +120,18 @@
             until = now + timeout;
             self.turn.timers.set(until, Due::Attempt(id, attempt));
         }
-        let job = Job { id, attempt, query: begun.query, until };
-        let Some((key, new)) = self.boxes.send(server, job, now) else { return };
+        let promised = self.config.settings.classes.get(begun.query.class as usize).map_or(0, |c| c.aim);
+        let aim = begun.until.saturating_sub(begun.query.wait) + promised;
+        let aim = if promised == 0 { until } else { aim.min(until) };
+        let job = Job { id, attempt, query: begun.query, aim, until };
+        if let Some((key, new)) = self.boxes.send(server, job, now) {
+            self.carried(id, attempt, key, new);
+        }
+    }
+
+    /// A connection has an attempt; it may be new.
+    fn carried(&mut self, id: RequestId, attempt: u32, key: usize, new: Option<boxes::Begun>) {
+        let now = self.turn.now;
         if let Some(new) = new {
             let wait = self.config.settings.connect_timeout.max(MS);
             self.turn.timers.set(now + wait, Due::Connect(key, new.serial));
@@ -181,6 +191,7 @@
             boxes::News::Passed(id, bytes) => self.passed(id, &bytes),
             boxes::News::Done(id, reply) => self.passed_whole(id, &reply),
             boxes::News::Cut(id) => self.cut(id),
+            boxes::News::Moved(id, attempt, key, new) => self.carried(id, attempt, key, new),
             boxes::News::Push(server, told) => self.observers.tell(Told::Push(server, &told)),
         }
     }
