The choice by expected time refuses what would come past its aim; thin boxes borrow all boxes' times

Need: at 100 proxies each has one connection to a box and sees a few answers a second of it: there is nothing to choose between, and the box's own history says nothing for minutes.

Change: `placing = "expected"` puts nothing behind a queue whose answer is expected past the aim (the module goes elsewhere, or refuses at once); what a box's own history can't say yet, all boxes' says; a stalled head is known by all boxes' quantile, and before that by twice the longest. The load tool's log of times can be kept by other programs.

--- a/crates/lab/benches/pipeline.rs
+++ b/crates/lab/benches/pipeline.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use testkit::process::{free_port, Folder, Instance};
 use testkit::world::{Fault, Script, World, WorldConfig};
-use trestlelab::load::{run, Args};
+use trestlelab::load::{keep, run, Args};
 
 const BOXES: usize = 16;
 const PROXIES: usize = 4;
@@ -75,7 +75,9 @@
         let name = format!("{}-{}-{seed}.hlog", day.0, way.0.replace([',', ' '], "-"));
         line += &format!(" --hdr {}", kept.join(name).display());
     }
-    let outcome = run(&Line::parse_from(line.split(' ')).args).expect("a load").0;
+    let args = Line::parse_from(line.split(' ')).args;
+    let (outcome, times) = run(&args).expect("a load");
+    keep(&args, &times).expect("a log");
     let sent = outcome.sent.max(1) as f64;
     let attempts: usize = world.boxes.iter().map(|b| b.record().len()).sum();
     let opened: usize = world.boxes.iter().map(|b| b.opened()).sum();
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -596,13 +596,20 @@
     ))
 }
 
+/// Writes the log of times that is asked for, if one is.
+///
+/// # Errors
+/// It can't be written.
+pub fn keep(args: &Args, times: &Histogram<u64>) -> Result<(), Failure> {
+    let Some(path) = &args.hdr else { return Ok(()) };
+    let text = log(times, args.seconds).map_err(Failure::Io)?;
+    std::fs::write(path, text).map_err(|e| Failure::io("can't be written", path, e))
+}
+
 /// Puts the load on, and prints what came of it.
 pub fn command(args: &Args) -> Result<u8, Failure> {
     let (o, times) = run(args)?;
-    if let Some(path) = &args.hdr {
-        let text = log(&times, args.seconds).map_err(Failure::Io)?;
-        std::fs::write(path, text).map_err(|e| Failure::io("can't be written", path, e))?;
-    }
+    keep(args, &times)?;
     if args.json {
         println!("{}", serde_json::to_string(&o).map_err(|e| Failure::Io(e.to_string()))?);
     } else {
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -102,6 +102,8 @@
     pub policy: Option<Box<dyn Policy>>,
     pub open: FxHashMap<u64, Open>,
     by_box: FxHashMap<u32, Reached>,
+    /// What all boxes were measured to take.
+    times: Times,
     pub connections: usize,
     pub known: Vec<Known>,
     /// Boxes whose drain it was told of, and when.
@@ -119,6 +121,7 @@
             policy: None,
             open: FxHashMap::default(),
             by_box: FxHashMap::default(),
+            times: Times::NONE,
             connections: 0,
             known: Vec::new(),
             told_drain: FxHashMap::default(),
@@ -135,6 +138,7 @@
         self.events.clear();
         self.connections = 0;
         self.told_drain.clear();
+        self.times = Times::NONE;
         let mut open: Vec<(u64, Open)> = self.open.drain().collect();
         open.sort_unstable_by_key(|(id, _)| *id);
         let mut connections: Vec<usize> = self.by_box.drain().flat_map(|(_, r)| r.connections).collect();
@@ -311,7 +315,8 @@
             })
         });
         let ask = Ask { lane: job.lane(), aim: job.aim, room };
-        pipeline::place(&ask, seen, times, &self.pipes, self.now)
+        let known = pipeline::Known { of_box: times, of_all: &self.hosts[proxy].times };
+        pipeline::place(&ask, seen, known, &self.pipes, self.now)
     }
 
     /// A connection has nothing to do any more: it takes what waits longest for one that is not up yet.
@@ -500,8 +505,10 @@
     /// A connection has come up.
     pub(crate) fn connected(&mut self, key: usize) {
         let Some(c) = &self.connections[key] else { return };
-        if let Some(reached) = self.hosts[c.proxy].by_box.get_mut(&c.to) {
+        let host = &mut self.hosts[c.proxy];
+        if let Some(reached) = host.by_box.get_mut(&c.to) {
             reached.times.connected(self.now - c.begun);
+            host.times.connected(self.now - c.begun);
         }
         self.flush(key);
     }
@@ -513,8 +520,11 @@
         c.moved = self.now;
         let Some(answered) = c.pipe.answered(self.now) else { return };
         let to = c.to;
-        if let Some(reached) = self.hosts[proxy].by_box.get_mut(&to) {
-            reached.times.answered(answered.lane, answered.behind, answered.took, answered.as_head);
+        let host = &mut self.hosts[proxy];
+        if let Some(reached) = host.by_box.get_mut(&to) {
+            for times in [&mut *reached.times, &mut host.times] {
+                times.answered(answered.lane, answered.behind, answered.took, answered.as_head);
+            }
         }
         if status == Status::Spoilt {
             if let Some((id, attempt)) = answered.tag {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -81,7 +81,7 @@
     /// `writes`: the same for another write.
     pub writes: Option<usize>,
     /// `placing`: `fixed` (an idle connection, else a new one, else the least busy) or `expected` (the one on which
-    /// the answer is expected first, a handshake counted). `fixed` by default.
+    /// the answer is expected first, a handshake counted; none if it is expected past its aim). `fixed` by default.
     pub expected: bool,
     /// `handshake_cost`: with `expected`, the time that a handshake takes counts so many times more, for what it costs
     /// the box; 0 to 100, 2 by default.
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -12,7 +12,7 @@
 mod times;
 
 pub use pipe::{Answered, Called, Command, Fate, Lane, Pipe};
-pub use place::{is_stalled, place, Ask, Limits, Place, Placing, Seen};
+pub use place::{is_stalled, place, Ask, Known, Limits, Place, Placing, Seen};
 pub use room::Room;
 pub use times::{History, Times};
 
--- a/crates/pipeline/src/place.rs
+++ b/crates/pipeline/src/place.rs
@@ -8,7 +8,8 @@
     /// An idle one, else a new one, else the least busy.
     #[default]
     Fixed,
-    /// The one on which the answer is expected first, a handshake charged for what it costs the box.
+    /// The one on which the answer is expected first, a handshake charged for what it costs the box; none if it would
+    /// come past the aim.
     Expected,
 }
 
@@ -64,6 +65,22 @@
     }
 }
 
+/// What was measured: of the box, and of all boxes together, which is asked where the box's own is too thin.
+#[derive(Clone, Copy, Debug)]
+pub struct Known<'a> {
+    /// Of this box.
+    pub of_box: &'a Times,
+    /// Of all.
+    pub of_all: &'a Times,
+}
+
+impl<'a> Known<'a> {
+    /// How much longer something takes that has taken so long, by the box's own history if it says.
+    fn remaining(&self, of: impl Fn(&'a Times) -> &'a History, age: Nanos) -> Option<Nanos> {
+        of(self.of_box).remaining(age).or_else(|| of(self.of_all).remaining(age))
+    }
+}
+
 /// What is to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask {
@@ -92,21 +109,30 @@
 const OWN: u16 = 32;
 
 /// A head of this age has outlasted what heads on its connection are known to take; while that has too few to say, what
-/// its box is known to take.
-pub fn is_stalled(age: Nanos, history: &History, of_box: &History, limits: &Limits) -> bool {
-    let history = if history.evidence() >= OWN { history } else { of_box };
-    limits.head_quantile < 1.0 && history.quantile(limits.head_quantile).is_some_and(|most| age > most)
+/// its box is known to take, then what all boxes are, and then twice the longest that any box took.
+///
+/// Danger: at a proxy that sees a few answers a second of each box, the box's own history says nothing for minutes, and
+/// a box that falls silent meanwhile would be filled to the depth.
+pub fn is_stalled(age: Nanos, history: &History, lane: Lane, known: Known<'_>, limits: &Limits) -> bool {
+    if limits.head_quantile >= 1.0 {
+        return false;
+    }
+    let own = Some(history).filter(|h| h.evidence() >= OWN);
+    let mut sure = own.into_iter().chain([known.of_box.alone(lane), known.of_all.alone(lane)]);
+    let most = sure.find_map(|h| h.quantile(limits.head_quantile));
+    let longest = || known.of_all.alone(lane).longest().map(|longest| 2 * longest);
+    most.or_else(longest).is_some_and(|most| age > most)
 }
 
 /// Until its answer, on this busy connection; nothing where too little is known.
-fn expected<K>(seen: &Seen<'_, K>, ask: &Ask, times: &Times, now: Nanos) -> Option<Nanos> {
-    let own = times.alone(ask.lane).remaining(0)?;
-    let gaps = times.gap() * seen.depth as Nanos;
+fn expected<K>(seen: &Seen<'_, K>, ask: &Ask, known: Known<'_>, now: Nanos) -> Option<Nanos> {
+    let own = known.remaining(|t| t.alone(ask.lane), 0)?;
+    let gaps = known.remaining(Times::gaps, 0).unwrap_or(0) * seen.depth as Nanos;
     if !seen.up {
-        return Some(times.connects().remaining(now.saturating_sub(seen.since))? + own.max(gaps));
+        return Some(known.remaining(Times::connects, now.saturating_sub(seen.since))? + own.max(gaps));
     }
     // Work is done beside what stands before it; only the answer has to wait.
-    let head = times.alone(ask.lane).remaining(seen.head_age.unwrap_or(0))?;
+    let head = known.remaining(|t| t.alone(ask.lane), seen.head_age.unwrap_or(0))?;
     Some(own.max(head + gaps))
 }
 
@@ -115,7 +141,7 @@
 pub fn place<'a, K: Copy + 'a>(
     ask: &Ask,
     all: impl Iterator<Item = Seen<'a, K>> + Clone,
-    times: &Times,
+    known: Known<'_>,
     limits: &Limits,
     now: Nanos,
 ) -> Place<K> {
@@ -124,21 +150,21 @@
         return Place::Idle(idle.key);
     }
     let depth = limits.depth[usize::from(ask.lane.write)];
-    let history = times.alone(ask.lane);
     let takes = move |s: &Seen<'a, K>| {
-        let stalled = s.head_age.is_some_and(|age| is_stalled(age, s.history, history, limits));
+        let stalled = s.head_age.is_some_and(|age| is_stalled(age, s.history, ask.lane, known, limits));
         !s.idle() && s.depth < depth && (s.same_lane || !limits.apart) && !stalled
     };
     let busy = all.filter(takes);
-    let connect = times.connects().remaining(0).zip(history.remaining(0));
+    let connect = known.remaining(Times::connects, 0).zip(known.remaining(|t| t.alone(ask.lane), 0));
     let new = connect.map(|(up, own)| (up as f64 * (1.0 + limits.handshake_cost)) as Nanos + own);
     if let (Placing::Expected, Some(new)) = (limits.placing, new) {
-        let timed = busy.clone().filter_map(|s| Some((expected(&s, ask, times, now)?, s)));
+        let timed = busy.clone().filter_map(|s| Some((expected(&s, ask, known, now)?, s)));
         let best = timed.min_by_key(|(time, s)| (*time, s.depth));
         return match best {
-            Some((time, s)) if !ask.room || (time <= new && now + time <= ask.aim) => Place::Behind(s.key),
+            Some((time, s)) if now + time <= ask.aim && (!ask.room || time <= new) => Place::Behind(s.key),
             _ if ask.room => Place::New,
-            _ => busy.min_by_key(|s| s.depth).map_or(Place::Full, |s| Place::Behind(s.key)),
+            // An answer past the aim is worth little, and would make those behind it late as well.
+            _ => Place::Full,
         };
     }
     if ask.room {
--- a/crates/pipeline/src/times.rs
+++ b/crates/pipeline/src/times.rs
@@ -77,6 +77,11 @@
         Some(end(CLASSES - 1))
     }
 
+    /// The longest that was seen, if anything was.
+    pub fn longest(&self) -> Option<Nanos> {
+        self.counts.iter().rposition(|n| *n > 0).map(end)
+    }
+
     /// How much longer something takes that has taken so long: the mean of what longer ones took beyond it. What has
     /// outlasted all that was seen is expected to take as long again. Nothing without evidence.
     pub fn remaining(&self, age: Nanos) -> Option<Nanos> {
@@ -128,8 +133,8 @@
     }
 
     /// What the next took after one was answered.
-    pub fn gap(&self) -> Nanos {
-        self.gaps.remaining(0).unwrap_or(0)
+    pub fn gaps(&self) -> &History {
+        &self.gaps
     }
 
     /// What connections took to come up.
--- a/crates/pipeline/tests/place.rs
+++ b/crates/pipeline/tests/place.rs
@@ -1,6 +1,6 @@
 //! Which connection one more command goes to, by lists of connections.
 
-use pipeline::{place, Ask, History, Lane, Limits, Place, Placing, Seen, Times};
+use pipeline::{place, Ask, History, Known, Lane, Limits, Place, Placing, Seen, Times};
 
 const MS: u64 = 1_000_000;
 const NOW: u64 = 1_000 * MS;
@@ -30,7 +30,7 @@
 }
 
 fn choose(ask: Ask, all: &[Seen<'_, u32>], times: &Times, limits: &Limits) -> Place<u32> {
-    place(&ask, all.iter().copied(), times, limits, NOW)
+    place(&ask, all.iter().copied(), Known { of_box: times, of_all: &Times::NONE }, limits, NOW)
 }
 
 #[test]
@@ -64,8 +64,11 @@
     let (young, old) = (busy(1, 1, 4, &none), busy(2, 1, 60, &none));
     assert_eq!(choose(asked(true), &[young, old], &known(), &expected), Place::Behind(1));
     assert_eq!(choose(asked(true), &[old], &known(), &expected), Place::New);
-    // Without room it is still better than nothing.
+    // Without room it is still better than nothing, if it is in time.
     assert_eq!(choose(asked(false), &[old], &known(), &expected), Place::Behind(2));
+    let hurried = Ask { aim: NOW + 50 * MS, ..asked(false) };
+    assert_eq!(choose(hurried, &[old], &known(), &expected), Place::Full);
+    assert_eq!(choose(hurried, &[old], &known(), &limits(Placing::Fixed)), Place::Behind(2));
     // A box that takes the commands of a connection one by one: each ahead costs its whole time.
     let mut serial = known();
     (0..600).for_each(|_| serial.answered(READ, true, 0, 20 * MS));
@@ -103,6 +106,27 @@
     assert_eq!(choose(asked(false), &[busy(1, 1, 60, &slow)], &known(), &strict), Place::Behind(1));
 }
 
+#[test]
+fn where_a_box_is_little_known_all_boxes_speak_for_it() {
+    let none = History::default();
+    let (old, all) = (busy(1, 1, 60, &none), known());
+    let by = |of_all, head_ms: u64, limits: &Limits, room| {
+        let seen = Seen { head_age: Some(head_ms * MS), ..old };
+        let known = Known { of_box: &Times::NONE, of_all };
+        place(&asked(room), [seen].into_iter(), known, limits, NOW)
+    };
+    // 99% of all took up to 6 ms, which are of the class up to some 8.
+    let strict = Limits { head_quantile: 0.99, ..limits(Placing::Fixed) };
+    assert_eq!((by(&all, 10, &strict, false), by(&all, 5, &strict, false)), (Place::Full, Place::Behind(1)));
+    // Ten say nothing of the 99th percentile: twice the longest of them.
+    let mut few = Times::default();
+    (0..10).for_each(|_| few.answered(READ, false, 6 * MS, 0));
+    assert_eq!((by(&few, 20, &strict, false), by(&few, 10, &strict, false)), (Place::Full, Place::Behind(1)));
+    assert_eq!(by(&Times::NONE, 60, &strict, false), Place::Behind(1));
+    let expected = limits(Placing::Expected);
+    assert_eq!((by(&all, 4, &expected, true), by(&all, 60, &expected, true)), (Place::Behind(1), Place::New));
+}
+
 #[test]
 fn kinds_are_kept_apart_where_that_is_wanted() {
     let none = History::default();
--- a/crates/proxy/src/boxes/choose.rs
+++ b/crates/proxy/src/boxes/choose.rs
@@ -6,7 +6,7 @@
 use super::{Begun, Boxes, Job, News};
 use addresses::Id;
 use calicosaddle::api::{Nanos, ServerId, Status};
-use pipeline::{Ask, Command, Place, Seen};
+use pipeline::{Ask, Command, Known, Place, Seen};
 
 impl Boxes {
     /// Sends an attempt: it will be written at the end of this step of the loop, or when its connection is up.
@@ -71,6 +71,10 @@
         }
     }
 
+    fn known<'a>(&'a self, node: &'a Node) -> Known<'a> {
+        Known { of_box: node.times(), of_all: &self.times }
+    }
+
     fn choose(&self, node: &Node, job: &Job, only: Option<Id>, room: bool, now: Nanos) -> Place<usize> {
         let lane = job.lane();
         let seen = node.connections.iter().filter_map(|key| {
@@ -87,7 +91,7 @@
                 same_lane: c.pipe.is_of(lane),
             })
         });
-        pipeline::place(&Ask { lane, aim: job.aim, room }, seen, node.times(), &self.pipes, now)
+        pipeline::place(&Ask { lane, aim: job.aim, room }, seen, self.known(node), &self.pipes, now)
     }
 
     /// Finds other connections for attempts of which no byte was written.
@@ -136,7 +140,7 @@
             let age = c.pipe.head_age(now).filter(|_| c.up && c.pipe.waits())?;
             let lane = c.pipe.head_lane()?;
             let history = c.pipe.history();
-            pipeline::is_stalled(age, history, node.times().alone(lane), &self.pipes).then_some(key)
+            pipeline::is_stalled(age, history, lane, self.known(node), &self.pipes).then_some(key)
         };
         let stalled: Vec<usize> = self.all.iter().filter_map(stalled).collect();
         for key in stalled {
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -21,7 +21,7 @@
 use control::message::{BoxStatus, Pipelines, DEPTHS};
 use mio::{Registry, Token};
 use node::{word, Node};
-use pipeline::{Called, Fate, Limits, Pipe, Placing};
+use pipeline::{Called, Fate, Limits, Pipe, Placing, Times};
 use resp::{Frame, Item, Kind, Part, Protocol, Reply, ReplyReader, Shape};
 use rests::Rests;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -173,6 +173,8 @@
     per_node: usize,
     limit: usize,
     pipes: Limits,
+    /// What all nodes were measured to take.
+    times: Times,
     told: operator::Pipeline,
     /// Counts of nodes that are forgotten.
     past: Pipelines,
@@ -211,6 +213,7 @@
             per_node: 1,
             limit,
             pipes: Limits::default(),
+            times: Times::NONE,
             told: told.pipeline.clone(),
             past: Pipelines::default(),
             dirty: Vec::new(),
@@ -734,7 +737,9 @@
             let server = c.node;
             if let Some(node) = self.nodes.get_mut(&server) {
                 node.book.up(c.link.over, now.saturating_sub(c.link.begun));
-                node.measured().connected(now.saturating_sub(c.link.begun));
+                for times in [node.measured(), &mut self.times] {
+                    times.connected(now.saturating_sub(c.link.begun));
+                }
             }
             self.next_rival(server, now);
         }
@@ -839,7 +844,9 @@
             let (server, first) = (c.node, !std::mem::replace(&mut c.used, true));
             if let Some(node) = self.nodes.get_mut(&c.node) {
                 node.book.answered(c.link.over, answered.took, now);
-                node.measured().answered(answered.lane, answered.behind, answered.took, answered.as_head);
+                for times in [node.measured(), &mut self.times] {
+                    times.answered(answered.lane, answered.behind, answered.took, answered.as_head);
+                }
             }
             if c.rested > 0 {
                 self.rests.used(std::mem::take(&mut c.rested), false);
