A call for the list outlasts discovery's queue: an answer that crossed broke a drain

At fault: `PATIENCE` in discovery.rs, 1.5 s, where discovery may take 2 s over a call before it ends it itself; the call was lost, its work done twice, and what it told counted.

Change: a call that does not wait for news has 2.5 s. One that waits keeps 1.5 s after its wait, since its news count as told 2 s after it.

Test: a list that stood in the queue for 1.95 s is taken (fails before).

--- a/crates/proxy/src/platform/discovery.rs
+++ b/crates/proxy/src/platform/discovery.rs
@@ -16,14 +16,17 @@
 /// How long a call of a watch waits for news. News of a call that hangs counts as told 2 s after its wait:
 /// a short wait finds that out sooner, a long one spares discovery calls.
 const WAIT: Nanos = 10_000 * MS;
-/// A call that doesn't wait, and the answer of one that does, take no longer than this.
+/// The answer of one that waits comes no later than this after its wait.
 const PATIENCE: Nanos = 1_500 * MS;
+/// For one that does not wait for news, but stands in the queue of a discovery that may take 2 s over it. Guards against
+/// answers that cross with a call given up: they count as told, and nobody has read them.
+const QUEUED: Nanos = 2_500 * MS;
 /// The longest head of an answer, and the longest body.
 const MAX_HEAD: usize = 16 << 10;
 const MAX_BODY: usize = 1 << 20;
-/// So many answers in a row that are older than the list in force are not believed; a whole list after them is. Guards against
-/// a copy of discovery that lags behind the one that answered before: it would bring back boxes that are gone. Danger:
-/// a discovery that lost its count would never be heard again, so it is, after some seconds of asking.
+/// So many answers in a row that are older than the list in force are not believed; a whole list after them is.
+/// Guards against a copy of discovery that lags behind the one that answered before: it would bring back boxes that
+/// are gone. Danger: a discovery that lost its count would never be heard again, so it is, after some seconds of asking.
 const OLDER: u32 = 3;
 /// The longest line that tells a chunk's size.
 const MAX_CHUNK_LINE: usize = 256;
@@ -232,7 +235,7 @@
 
     fn call(&self, registry: &Registry, purpose: Purpose, now: Nanos) -> Result<Call, ListError> {
         let token = self.tokens[usize::from(purpose == Purpose::Fetch)];
-        let wait = if purpose == Purpose::Follow { WAIT } else { 0 };
+        let (wait, patience) = if purpose == Purpose::Follow { (WAIT, PATIENCE) } else { (0, QUEUED) };
         let query = match self.version {
             Some(version) if purpose != Purpose::Fetch => {
                 format!("?since={version}&timeout_ms={}", wait / MS)
@@ -252,7 +255,7 @@
             stream,
             out: out.into_bytes(),
             written: 0,
-            deadline: now + wait + PATIENCE,
+            deadline: now + wait + patience,
             framing: Framing::Head,
             pending: Vec::new(),
             body: Vec::new(),
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -520,6 +520,24 @@
     assert_eq!(discovery.accept().request(), "/catalog/members?since=41&timeout_ms=0");
 }
 
+#[test]
+fn an_answer_that_stood_in_discoverys_queue_for_two_seconds_is_taken() {
+    let (node, other, discovery) = (Server::start(), Server::start(), Server::start());
+    let proxy = Proxy::with(&node, |c| subscribed(c, &discovery));
+    let mut call = discovery.accept();
+    call.request();
+    std::thread::sleep(std::time::Duration::from_millis(1_950));
+    // Discovery has told it now: nothing new may go to the first node.
+    call.list(&list(42, true, &[host("s-9", other.addresses[0], "up")]));
+    assert!(discovery.accept().request().starts_with("/catalog/members?since=42&"));
+    let mut client = proxy.client();
+    client.get(1, "read", 15_000);
+    let (mut at_other, _) = other.command();
+    at_other.send(hit("w"));
+    assert_eq!(client.command()[0], "w");
+    assert!(node.is_untouched());
+}
+
 #[test]
 fn the_connections_of_a_node_that_is_gone_are_given_back() {
     let (node, discovery) = (Server::start(), Server::start());
