Tests' addresses are counted, not bound to be found free: one was held by another start

Addresses were of each process alone and never shared by two live proxies, which rules out other tests.

Change: an address is the next of a process's own hosts and of ports below those that the kernel gives to connections; nothing is bound for it, so nothing can be held. The test of it fails when the ports repeat (seen).

--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -7,24 +7,26 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
 
 /// Whatever has not come by then fails its test.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-/// An address of this process alone, so that no other test can take a port between its choice and its use.
-fn own_address() -> IpAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let pid = std::process::id();
-    let host = NEXT.fetch_add(1, Ordering::Relaxed);
-    IpAddr::V4(Ipv4Addr::new(127, 16 + (pid >> 8) as u8 % 200, pid as u8, host))
+/// An address at which nobody listens. No other test and no other process gets it, and none is asked for a port: what
+/// is not bound to be found free can't be held by a program that another thread starts meanwhile.
+pub fn nobody() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    address_of(std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
-/// An address at which nobody listens.
-pub fn nobody() -> SocketAddr {
-    crate::free(own_address()).expect("a free port")
+/// The so many-th address of a process: a loopback host of the process's own, at a port below those that the kernel
+/// gives to connections.
+fn address_of(process: u32, number: u32) -> SocketAddr {
+    let host = Ipv4Addr::new(127, 16 + (process >> 8) as u8 % 200, process as u8, (number % 254) as u8 + 1);
+    let port = 10_000 + u16::try_from(number / 254 % 20_000).expect("below 20,000");
+    SocketAddr::new(IpAddr::V4(host), port)
 }
 
 /// One or more listeners, whose connections a test takes one by one.
@@ -515,3 +517,18 @@
 pub fn cached(command: &resp::Command) -> Vec<u8> {
     hit(&format!("{}:1", String::from_utf8_lossy(command.arg(1))))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::HashSet;
+
+    #[test]
+    fn no_address_is_given_twice_and_none_lies_where_the_kernel_puts_connections() {
+        let given: HashSet<SocketAddr> = (0..100_000).map(|n| address_of(4_235, n)).collect();
+        assert_eq!(given.len(), 100_000);
+        assert!(given.iter().all(|a| a.ip().is_loopback() && (1_024..32_768).contains(&a.port())));
+        let other: HashSet<SocketAddr> = (0..1_000).map(|n| address_of(4_236, n)).collect();
+        assert!(given.is_disjoint(&other));
+    }
+}
