--- a/crates/proxy/tests/pipeline.rs
+++ b/crates/proxy/tests/pipeline.rs
@@ -432,6 +432,60 @@
     }
 }
 
+#[test]
+fn what_is_unwritten_behind_a_head_that_outlasts_its_history_moves_to_another_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    // What a box does not read stays with the proxy.
+    socket2::SockRef::from(&listener).set_recv_buffer_size(4 << 10).expect("set");
+    let node = Server::at(listener);
+    let proxy = Proxy::operated(&node, "version = 1\n[pipeline]\nhead_quantile = 0.5", |c| {
+        once(c);
+        c["settings"]["n_instances"] = json!(12);
+    });
+    let ask = |key: u64| {
+        let mut client = proxy.client();
+        client.get(key, "read", 15_000);
+        client
+    };
+    let mut first = ask(0);
+    let (mut full, mut command) = node.command();
+    for key in 1..9 {
+        std::thread::sleep(Duration::from_millis(200));
+        full.send(hit(&command[2]));
+        assert_eq!(first.command()[0], command[2]);
+        first = ask(key);
+        command = full.command();
+    }
+    // A head that takes its time, and a write behind it that the socket does not take; one read after the other on the
+    // second connection, and one behind the write.
+    let mut second = ask(10);
+    let (mut free, other) = node.command();
+    let mut writer = proxy.client();
+    writer.set(11, "put", 15_000, &"v".repeat(4 << 20));
+    assert!(full.stream.peek(&mut [0]).is_ok_and(|n| n > 0));
+    let mut third = ask(12);
+    let behind = free.command();
+    let mut fourth = ask(13);
+    assert!(!free.has_input());
+    free.send([hit(&other[2]), hit(&behind[2])].concat());
+    assert_eq!(
+        (second.command()[0].clone(), third.command()[0].clone()),
+        (other[2].clone(), behind[2].clone())
+    );
+    // Nothing is read from the first connection, and nothing new is asked: only the move brings it.
+    let moved = free.command();
+    assert_eq!((&moved[0][..], &moved[1][..]), ("CACHE.GET", "000000000000000d"));
+    free.send(hit(&moved[2]));
+    assert_eq!(fourth.command()[0], moved[2]);
+    // The head and the write are where they were, once.
+    full.send(hit(&command[2]));
+    assert_eq!(first.command()[0], command[2]);
+    assert_eq!(full.command()[0], "CACHE.SET");
+    full.send(RECEIPT);
+    assert_eq!(writer.command()[0], "ok");
+    assert!(!full.has_input() && !free.has_input());
+}
+
 // ---- clients that pipeline ----
 
 #[test]
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -44,9 +44,18 @@
 
     /// So many listeners.
     pub fn many(count: usize) -> Server {
+        let listen = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a listener");
+        Server::of((0..count).map(listen))
+    }
+
+    /// This listener.
+    pub fn at(listener: TcpListener) -> Server {
+        Server::of([listener])
+    }
+
+    fn of(listeners: impl IntoIterator<Item = TcpListener>) -> Server {
         let (sender, accepted) = channel();
-        let listen = |at| {
-            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a listener");
+        let listen = |(at, listener): (usize, TcpListener)| {
             let address = listener.local_addr().expect("an address");
             let sender = sender.clone();
             std::thread::spawn(move || {
@@ -58,7 +67,7 @@
             });
             address
         };
-        Server { addresses: (0..count).map(listen).collect(), accepted }
+        Server { addresses: listeners.into_iter().enumerate().map(listen).collect(), accepted }
     }
 
     /// The next connection.
@@ -128,7 +137,7 @@
     }
 
     /// Looks for input for a millisecond.
-    fn has_input(&mut self) -> bool {
+    pub fn has_input(&mut self) -> bool {
         self.stream.set_read_timeout(Some(Duration::from_millis(1))).expect("a time-out");
         let come = self.stream.peek(&mut [0]).is_ok_and(|n| n > 0);
         self.stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
