Shadow traffic: a state machine without I/O, its host in the proxy, orders over control

Change: crates/shadow chooses by key, holds the budgets (exact in every second), ramps, stops, compares, judges. The proxy's copies.rs holds the connections; it works last in a turn, and copies are no attempts. [shadow] in the operator's file, off by default, every fault told at once; shadow-start, -stop and -status over the control endpoint, with a lease and generations; a stop is kept in the state file.

--- a/crates/agent/src/host.rs
+++ b/crates/agent/src/host.rs
@@ -308,7 +308,8 @@
             json!(folder.join("state"))
         );
         replace(&folder.join("operator.toml"), operator.as_bytes(), false)?;
-        let state = State { revision, boxes: self.fleet.plan().drained_boxes.clone(), drained };
+        let boxes = self.fleet.plan().drained_boxes.clone();
+        let state = State { revision, boxes, drained, ..State::default() };
         replace(&folder.join("state"), state.encode().as_bytes(), false)?;
         Process::start(&self.program, &self.folder, &folder, name, incarnation)
     }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::collections::BTreeMap;
 
 /// The version of the protocol.
 pub const VERSION: u32 = 1;
@@ -64,6 +65,20 @@
         /// All boxes that are to be drained.
         boxes: Vec<String>,
     },
+    /// Copies reads to candidates until the lease ends; the same order again prolongs it.
+    ShadowStart {
+        /// Number of this order. One below that in force is refused, and one under which copying has stopped.
+        generation: u64,
+        /// The lease, 1,000 to 86,400,000 ms.
+        lease_ms: u64,
+    },
+    /// Copies nothing more, until it is started under a later number.
+    ShadowStop {
+        /// Number of this order. One below that in force is refused.
+        generation: u64,
+    },
+    /// How copying stands, and what it shows.
+    ShadowStatus,
     /// Takes over a configuration: all of it or, if a part of it can't be, nothing.
     Reconfigure {
         /// Number of this configuration; as for [`Op::SetDrained`].
@@ -118,6 +133,20 @@
     Known(Known),
     /// To `reconfigure`.
     Reconfigured(Reconfigured),
+    /// To `shadow-start`, `shadow-stop` and `shadow-status`.
+    Copying(Box<Copying>),
+}
+
+/// How copying to candidates stands, and what it shows.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Copying {
+    /// How it stands.
+    pub status: shadow::Status,
+    /// What it shows at this instance alone.
+    pub report: shadow::Report,
+    /// Times by the names of classes, in base64 what `shadow::verdict::Times` writes: those of several instances can be
+    /// added.
+    pub times: BTreeMap<String, String>,
 }
 
 /// What came of a configuration.
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -19,6 +19,14 @@
     pub boxes: BTreeSet<String>,
     /// The instance itself is drained.
     pub drained: bool,
+    /// The last order for copying, and whether that has stopped.
+    #[serde(default, skip_serializing_if = "is_unused")]
+    pub shadow: shadow::Kept,
+}
+
+/// Guards against files that an older build can't read: what was never used is not written.
+fn is_unused(kept: &shadow::Kept) -> bool {
+    *kept == shadow::Kept::default()
 }
 
 /// Is a change under this number to be made?
--- a/crates/control/tests/protocol.rs
+++ b/crates/control/tests/protocol.rs
@@ -112,7 +112,8 @@
 
 #[test]
 fn a_state_file_that_is_torn_or_damaged_is_never_taken_for_a_whole_one() {
-    let state = State { revision: 7, boxes: ["s-1".into(), "s-2".into()].into(), drained: true };
+    let boxes = ["s-1".into(), "s-2".into()].into();
+    let state = State { revision: 7, boxes, drained: true, ..State::default() };
     let text = state.encode();
     assert_eq!(State::decode(&text), Ok(state));
     for end in 0..text.len() {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -7,6 +7,7 @@
 
 use read::{Errors, Section};
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// The version of the format that this build reads.
@@ -27,6 +28,9 @@
     pub boxes: Boxes,
     /// `[pipeline]`: how commands go behind one another.
     pub pipeline: Pipeline,
+    /// `[shadow]`: reads that are copied to boxes which are not in service yet. Off without it, and until it is started
+    /// over the control endpoint.
+    pub shadow: Option<Shadow>,
 }
 
 /// `[clients]`.
@@ -119,6 +123,49 @@
     }
 }
 
+/// `[shadow]`. Needs `[control]`: copying is started there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shadow {
+    /// `candidates`: 1 to 64 addresses, `"IP:PORT"`, none of them a live box's. Required.
+    pub candidates: Vec<SocketAddr>,
+    /// `classes`: those whose reads are copied, by their names in the settings; only such as are safe to repeat. Required.
+    pub classes: Vec<String>,
+    /// `tenants`: those whose reads are copied, by their names in the settings. All by default, also reads that name none.
+    pub tenants: Option<Vec<String>>,
+    /// `except_tenants`: all but these. Not beside `tenants`.
+    pub except_tenants: Option<Vec<String>>,
+    /// `salt`: chooses which keys are copied; 0 or more, the same at all proxies. 0 by default.
+    pub salt: u64,
+    /// `share`: of the keys, that are copied at the most; 0.000001 to 1, 0.1 by default.
+    pub share: f64,
+    /// `first_share`: that it begins with, and begins with again after trouble; 0.000001 to 1, 0.01 by default.
+    pub first_share: f64,
+    /// `step_seconds`: the share doubles no sooner than that; 1 to 3,600, 30 by default.
+    pub step_seconds: u64,
+    /// `copies_per_second`: of this proxy, in any second; 1 to 10,000, 100 by default.
+    pub copies_per_second: usize,
+    /// `connections`: to candidates, each with one copy at a time; 1 to 256, 8 by default.
+    pub connections: usize,
+    /// `answer_bytes`: values that are longer are not compared; 1 to 65,536, 65,536 by default.
+    pub answer_bytes: usize,
+    /// `held_bytes`: that open copies may hold together, counted as the longest answer each; up to 64 MiB, 1 MiB by default.
+    pub held_bytes: usize,
+    /// `cpu_share`: of the loop's time, that copying may take in a second; 0.001 to 0.5, 0.02 by default.
+    pub cpu_share: f64,
+    /// `misses_per_second`: fetches from the origin that copies of all proxies together may cause in any second; half of it is
+    /// shared out (docs/design/shadow.md). 2 to 1,000,000. Required.
+    pub misses_per_second: u32,
+    /// `deadline_ms`: a copy is given up after that; 10 to 10,000, 500 by default.
+    pub deadline_ms: u64,
+    /// `tolerated_different`: share of answers that may differ before a candidate is called worse; 0 to 1, 0.001 by default.
+    pub tolerated_different: f64,
+    /// `tolerated_slower`: by this part its quantiles may be longer; 0 to 10, 0.1 by default.
+    pub tolerated_slower: f64,
+    /// `stop_different`: copying stops by itself where more than this share of answers differs, beyond chance; 0 to 1, 0.05
+    /// by default.
+    pub stop_different: f64,
+}
+
 /// `[control]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Control {
@@ -196,6 +243,7 @@
             let line = e.span().map_or(1, |s| text[..s.start.min(text.len())].matches('\n').count() + 1);
             vec![Fault { key: String::new(), reason: format!("line {line}: {}", e.message()) }]
         })?;
+        let steered = table.contains_key("control");
         let mut errors = Errors::default();
         let mut root = Section::root(table);
         let version = root.integer("version", 1..=i64::MAX, &mut errors);
@@ -219,8 +267,13 @@
         let boxes = boxes.map(|s| Boxes::read(s, instance, &mut errors)).unwrap_or_default();
         let pipeline = root.section("pipeline", &mut errors);
         let pipeline = pipeline.map(|s| Pipeline::read(s, &mut errors)).unwrap_or_default();
+        let shadow = root.section("shadow", &mut errors);
+        if shadow.is_some() && !steered {
+            errors.add("shadow", "is started over the control endpoint; [control] is missing".into());
+        }
+        let shadow = shadow.and_then(|s| Shadow::read(s, &mut errors));
         root.finish(&mut errors);
-        errors.result(Operator { control, clients, boxes, pipeline })
+        errors.result(Operator { control, clients, boxes, pipeline, shadow })
     }
 }
 
@@ -317,6 +370,76 @@
     }
 }
 
+/// Candidates at the most.
+const MAX_CANDIDATES: usize = 64;
+
+impl Shadow {
+    fn read(mut s: Section, errors: &mut Errors) -> Option<Shadow> {
+        let texts = s.required("candidates", errors, |s, e| s.strings("candidates", e));
+        let mut candidates: Vec<SocketAddr> = Vec::new();
+        for (i, text) in texts.iter().flatten().enumerate() {
+            let key = s.key(&format!("candidates[{i}]"));
+            match text.parse() {
+                Err(_) => errors.add(&key, format!("{text:?} is no IP:PORT")),
+                Ok(address) if candidates.contains(&address) => {
+                    errors.add(&key, format!("{text} is named twice"))
+                }
+                Ok(address) => candidates.push(address),
+            }
+        }
+        if texts.as_ref().is_some_and(|t| t.is_empty() || t.len() > MAX_CANDIDATES) {
+            errors.add(&s.key("candidates"), format!("has to name 1 to {MAX_CANDIDATES}"));
+        }
+        let classes = s.required("classes", errors, |s, e| s.strings("classes", e));
+        if classes.as_ref().is_some_and(Vec::is_empty) {
+            errors.add(&s.key("classes"), "names none".into());
+        }
+        let (tenants, except_tenants) = (s.strings("tenants", errors), s.strings("except_tenants", errors));
+        if tenants.is_some() && except_tenants.is_some() {
+            errors.add(&s.key("except_tenants"), "can't stand beside tenants".into());
+        }
+        let salt = s.integer("salt", 0..=i64::MAX, errors).unwrap_or(0) as u64;
+        let share = s.number("share", 1e-6..=1.0, errors).unwrap_or(0.1);
+        let first_share = s.number("first_share", 1e-6..=1.0, errors).unwrap_or(0.01);
+        let step_seconds = s.integer("step_seconds", 1..=3_600, errors).unwrap_or(30) as u64;
+        let copies_per_second = s.integer("copies_per_second", 1..=10_000, errors).unwrap_or(100) as usize;
+        let connections = s.integer("connections", 1..=256, errors).unwrap_or(8) as usize;
+        let answer_bytes = s.integer("answer_bytes", 1..=64 << 10, errors).unwrap_or(64 << 10) as usize;
+        let held_bytes = s.integer("held_bytes", 1..=64 << 20, errors).unwrap_or(1 << 20) as usize;
+        if held_bytes < answer_bytes {
+            errors.add(&s.key("held_bytes"), format!("is {held_bytes}; one answer may have {answer_bytes}"));
+        }
+        let cpu_share = s.number("cpu_share", 0.001..=0.5, errors).unwrap_or(0.02);
+        let misses =
+            s.required("misses_per_second", errors, |s, e| s.integer("misses_per_second", 2..=1_000_000, e));
+        let deadline_ms = s.integer("deadline_ms", 10..=10_000, errors).unwrap_or(500) as u64;
+        let tolerated_different = s.number("tolerated_different", 0.0..=1.0, errors).unwrap_or(0.001);
+        let tolerated_slower = s.number("tolerated_slower", 0.0..=10.0, errors).unwrap_or(0.1);
+        let stop_different = s.number("stop_different", 0.0..=1.0, errors).unwrap_or(0.05);
+        s.finish(errors);
+        Some(Shadow {
+            candidates,
+            classes: classes?,
+            tenants,
+            except_tenants,
+            salt,
+            share,
+            first_share,
+            step_seconds,
+            copies_per_second,
+            connections,
+            answer_bytes,
+            held_bytes,
+            cpu_share,
+            misses_per_second: misses? as u32,
+            deadline_ms,
+            tolerated_different,
+            tolerated_slower,
+            stop_different,
+        })
+    }
+}
+
 /// Commands on one connection at the most, whichever way.
 const MAX_DEPTH: i64 = 1_024;
 
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -26,6 +26,11 @@
     assert_eq!(operator.pipeline, pipeline);
     let users: Vec<_> = operator.clients.users.iter().map(|u| (&u.name[..], u.password.is_some())).collect();
     assert_eq!(users, [("kiosk", true), ("default", false)]);
+    // But for what is required, it shows the defaults.
+    let least = "version = 1\n[control]\nsocket = \"/a\"\n[shadow]\ncandidates = [\"10.4.0.21:7000\"]\n\
+                 classes = [\"pack-lookup\"]\nmisses_per_second = 200\n";
+    let least = Operator::parse(least, "n0").expect("good").shadow.expect("shadow");
+    assert_eq!(operator.shadow, Some(operator::Shadow { tenants: Some(Vec::new()), ..least }));
     let control = operator.control.expect("control");
     assert_eq!(control.socket, Path::new("/run/trestlesill/n0.sock"));
     assert_eq!(control.state_file.as_deref(), Some(Path::new("/var/lib/trestlesill/n0.state")));
@@ -43,7 +48,7 @@
             "control.allow_uids[1]: is -1; 0 to 4294967295 is allowed",
             "control.allow_uids[2]: is a string; an integer is wanted",
             "control.sockets: is unknown; known here: socket, state_file, max_connections, allow_uids",
-            "speed: is unknown; known here: version, control, clients, boxes, pipeline",
+            "speed: is unknown; known here: version, control, clients, boxes, pipeline, shadow",
         ]
     );
 }
@@ -134,3 +139,31 @@
     std::fs::remove_file(&path).expect("removed");
     assert!(error.contains("1048576 are the most"), "{error}");
 }
+
+#[test]
+fn what_copies_of_reads_may_not_be_told_is_named_all_at_once() {
+    let text = "version = 1\n[shadow]\ncandidates = [\"box:1\", \"10.0.0.1:7\", \"10.0.0.1:7\"]\nclasses = []\n\
+                tenants = [\"a\"]\nexcept_tenants = [\"b\"]\nshare = 2\nheld_bytes = 9\ncpu_share = 0\nspeed = 1";
+    let told = faults(text);
+    let expected = [
+        "shadow: is started over the control endpoint; [control] is missing",
+        "shadow.candidates[0]: \"box:1\" is no IP:PORT",
+        "shadow.candidates[2]: 10.0.0.1:7 is named twice",
+        "shadow.classes: names none",
+        "shadow.except_tenants: can't stand beside tenants",
+        "shadow.share: is 2; 0.000001 to 1 is allowed",
+        "shadow.held_bytes: is 9; one answer may have 65536",
+        "shadow.cpu_share: is 0; 0.001 to 0.5 is allowed",
+        "shadow.misses_per_second: is missing",
+    ];
+    assert_eq!(told[..expected.len()], expected);
+    assert!(told.len() == expected.len() + 1 && told[expected.len()].starts_with("shadow.speed: is unknown"));
+    let many: Vec<String> = (0..65).map(|i| format!("\"10.0.0.1:{i}\"")).collect();
+    for candidates in ["".to_owned(), many.join(",")] {
+        let text = format!(
+            "version = 1\n[control]\nsocket = \"/a\"\n[shadow]\ncandidates = [{candidates}]\nclasses = [\"a\"]\n\
+             misses_per_second = 2"
+        );
+        assert_eq!(faults(&text), ["shadow.candidates: has to name 1 to 64"]);
+    }
+}
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -120,8 +120,9 @@
 pub enum News {
     /// It ended without a reply that could be passed on.
     Ended(RequestId, u32, Status, Reply),
-    /// A whole reply that serves it, and the bytes that came with it.
-    Served(RequestId, u32, Reply, Vec<u8>),
+    /// A whole reply that serves it, the bytes that came with it, and what it took; that is not told where it had to wait
+    /// behind another reply.
+    Served(RequestId, u32, Reply, Vec<u8>, Option<Nanos>),
     /// A long value begins, on this connection: what it is and its length.
     Begun(RequestId, u32, usize, Shape, usize),
     /// Some bytes of it, ...
@@ -272,6 +273,11 @@
         }
     }
 
+    /// A node has such an address.
+    pub fn has_address(&self, such: impl Fn(&addresses::Address) -> bool) -> bool {
+        self.nodes.values().any(|n| n.book.addresses().any(&such))
+    }
+
     /// Attempts written whole since the start.
     pub fn written(&self) -> u64 {
         self.written
@@ -854,7 +860,10 @@
             let Some((id, attempt)) = answered.tag else { continue };
             self.news.push_back(match reply.kind {
                 _ if passed => News::Done(id, reply),
-                Kind::Served => News::Served(id, attempt, reply, bytes),
+                Kind::Served => {
+                    let took = (!answered.behind).then_some(answered.took);
+                    News::Served(id, attempt, reply, bytes, took)
+                }
                 Kind::Busy => News::Ended(id, attempt, Status::Full, reply),
                 Kind::Failed => News::Ended(id, attempt, Status::Error, reply),
             });
--- a/crates/proxy/src/front/operate.rs
+++ b/crates/proxy/src/front/operate.rs
@@ -3,6 +3,7 @@
 
 use super::admin::Call;
 use super::control::{interval, needs_life};
+use crate::copies::Copies;
 use crate::figures::Now;
 use crate::path::Gates;
 use crate::platform::config::Config;
@@ -90,6 +91,11 @@
             Op::DrainBox { name } => self.keep(state.with_box(&name, true)?)?,
             Op::UndrainBox { name } => self.keep(state.with_box(&name, false)?)?,
             Op::SetDrained { revision, boxes } => self.keep(state.with_drained(revision, boxes)?)?,
+            Op::ShadowStart { generation, lease_ms } => {
+                return self.order(|c, now| c.start(generation, lease_ms, now))
+            }
+            Op::ShadowStop { generation } => return self.order(|c, now| c.stop(generation, now)),
+            Op::ShadowStatus => return self.order(|_, _| Ok(())),
             Op::Reconfigure { generation, config, dry_run } => {
                 return self.reconfigure(generation, &config.to_string(), dry_run).map(Answer::Reconfigured);
             }
@@ -108,6 +114,21 @@
         json!({"seq": version, "whole": true, "hosts": hosts})
     }
 
+    /// Carries out an order for copying; how that stands then.
+    fn order(
+        &mut self,
+        order: impl FnOnce(&mut Copies, Nanos) -> Result<(), Error>,
+    ) -> Result<Answer, Error> {
+        let Some(copies) = &mut self.copies else {
+            return Err(Error::new(Code::BadRequest, "the operator's file has no [shadow]"));
+        };
+        order(copies, self.turn.now)?;
+        self.look_for_candidates();
+        self.sweep_copies(0);
+        let copies = self.copies.as_ref().map(|c| c.copying(&self.config.classes));
+        copies.map(|c| Answer::Copying(Box::new(c))).ok_or_else(|| Error::new(Code::Stopping, "it ends"))
+    }
+
     // ---- drains ----
 
     fn keep(&mut self, change: Option<State>) -> Result<(), Error> {
@@ -171,6 +192,7 @@
             self.config.take(new);
             self.boxes.configure(&self.config);
             self.gates = Gates::new(self.config.max_open);
+            self.copies.iter_mut().for_each(|c| c.proxies(&self.config));
             if settings {
                 self.events.push_back(Event::Settings(Box::new(self.config.settings.clone())));
             }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 //! no room for and the module has never seen.
 
 mod boxes;
+mod copies;
 mod figures;
 mod front;
 mod life;
@@ -23,6 +24,7 @@
 use calicosaddle::api::*;
 use calicosaddle::Brain;
 use config::Config;
+use copies::Copies;
 use front::admin::{self, Admin};
 use front::clients::Clients;
 use front::control::{Endpoint, Kept};
@@ -79,6 +81,8 @@
     closed: bool,
     admin: Option<Admin>,
     control: Option<Endpoint>,
+    /// Reads that are copied to boxes which are not in service yet.
+    copies: Option<Copies>,
     kept: Kept,
     /// Counts the changes that a watching controller is told of.
     changes: u64,
@@ -87,6 +91,8 @@
     /// It was stopped when the connections were last looked over.
     stopped: bool,
     discovery_failed: bool,
+    /// When the connections are to be looked over next.
+    sweep_due: Nanos,
 }
 
 impl Proxy {
@@ -103,12 +109,14 @@
         let (registry, now) = (turn.registry(), turn.now);
         let signals = Signals::listen(registry, Source::Terminate.token(), Source::Hangup.token())?;
         let controllers = operator.control.as_ref().map_or(0, |c| c.max_connections + 1);
-        let reserved = RESERVED + controllers + config.admin.map_or(0, |_| admin::PLACES + 1);
+        let copies = operator.shadow.as_ref().map_or(0, |s| s.connections);
+        let reserved = RESERVED + controllers + copies + config.admin.map_or(0, |_| admin::PLACES + 1);
         let places = Places::new(config.sockets, reserved);
         let memory = ((config.memory_mb << 20) / MEMORY_PART) as usize;
         let users = front::users(&operator.clients, &config.tenants)?;
         let hello = boxes::hello(&operator.boxes)?;
         boxes::pipes(&operator.pipeline, &config)?;
+        let shadow = operator.shadow.as_ref().map(|s| copies::settings(s, &config)).transpose()?;
         let kept = Kept::load(operator.control.as_ref().and_then(|c| c.state_file.clone()))?;
         let mut clients = Clients::new(
             config.listen,
@@ -125,6 +133,8 @@
         let admin = config.admin.map(|a| Admin::open(a, registry, Source::Admin.token())).transpose()?;
         let control = operator.control.as_ref();
         let control = control.map(|c| Endpoint::open(c, registry, Source::Control.token())).transpose()?;
+        let copies = operator.shadow.as_ref().zip(shadow);
+        let copies = copies.map(|(told, settings)| Copies::new(told, settings, &config, &kept.state, now));
         let known = config.known.take();
         let version = known.as_ref().map(|k| k.version);
         let calls = [0, 1].map(|call| Source::Discovery(call).token());
@@ -147,11 +157,13 @@
             closed: drained,
             admin,
             control,
+            copies,
             kept,
             changes: 0,
             started: false,
             stopped: false,
             discovery_failed: false,
+            sweep_due: now,
             turn,
             config,
         };
@@ -160,6 +172,7 @@
         proxy.events.push_back(Event::List { kind: ListKind::Cached, entries });
         proxy.decide();
         proxy.turn.timers.set(now + SWEEP, Due::Sweep);
+        proxy.sweep_due = now + SWEEP;
         Ok(proxy)
     }
 
@@ -170,6 +183,7 @@
     pub fn check(config: &Config, operator: &operator::Operator) -> Result<(), String> {
         front::users(&operator.clients, &config.tenants)?;
         boxes::hello(&operator.boxes)?;
+        operator.shadow.as_ref().map(|s| copies::settings(s, config)).transpose()?;
         boxes::pipes(&operator.pipeline, config).map(|_| ())
     }
 
@@ -231,7 +245,8 @@
                 | Source::Box(_)
                 | Source::Rival(_)
                 | Source::Controller(_)
-                | Source::Caller(_) => continue,
+                | Source::Caller(_)
+                | Source::Candidate(_) => continue,
             }
             self.settle();
         }
@@ -271,6 +286,7 @@
         self.clients.flush_all(self.turn.now);
         self.settle();
         self.write();
+        self.copy(events);
     }
 
     /// Writes to cache nodes what became ready since: all that one connection has in one go.
@@ -332,6 +348,7 @@
 
     fn take_list(&mut self, news: discovery::News) -> Vec<Entry> {
         self.boxes.list(&news, self.turn.now);
+        self.look_for_candidates();
         self.observers.tell(Told::List);
         self.changes += 1;
         news.hosts.into_iter().map(|h| h.entry).collect()
@@ -373,7 +390,10 @@
                 Due::Connect(key, serial) => self.boxes.connect_timeout(key, serial, self.turn.now),
                 Due::Stagger(key, serial) => self.boxes.stagger(key, serial, self.turn.now),
                 Due::Accept => self.clients.knocked(),
+                Due::Copy(number) => self.copies.iter_mut().for_each(|c| c.overdue(number, self.turn.now)),
                 Due::Sweep => {
+                    let late = self.turn.now.saturating_sub(self.sweep_due);
+                    self.sweep_due = self.turn.now + SWEEP;
                     self.turn.timers.set(self.turn.now + SWEEP, Due::Sweep);
                     self.clients.sweep(self.turn.now);
                     self.boxes.sweep(self.turn.now);
@@ -386,6 +406,7 @@
                     self.stop();
                     self.admin.iter_mut().for_each(|a| a.sweep(self.turn.now));
                     self.sweep_control();
+                    self.sweep_copies(late);
                 }
             }
             self.settle();
@@ -396,6 +417,8 @@
 
     fn signalled(&mut self) {
         self.signals.terminated();
+        // What is copied ends with the process, at once.
+        self.copies = None;
         self.stopping.get_or_insert(self.turn.now);
         self.changes += 1;
     }
--- a/crates/proxy/src/life.rs
+++ b/crates/proxy/src/life.rs
@@ -2,6 +2,7 @@
 //! has an outcome, is decided on again, answered, observed, and retired.
 
 use crate::boxes::{self, GivenUp, Job};
+use crate::copies::hit;
 use crate::front::clients;
 use crate::path::{Final, Told, Verdict};
 use crate::request::{Answer, Place, Query};
@@ -44,6 +45,9 @@
     fn arrived(&mut self, id: RequestId, place: Place, query: Rc<Query>) {
         self.observers.tell(Told::Arrived);
         let class = query.class;
+        if query.write {
+            self.copies.iter_mut().for_each(|c| c.wrote(query.key));
+        }
         if self.gates.judge(&query, self.requests.len()) == Verdict::Refuse {
             self.give(place, class, Answer::Busy(0), Final::Refused);
             return;
@@ -177,9 +181,13 @@
     pub(crate) fn attempt_news(&mut self, news: boxes::News) {
         match news {
             boxes::News::Ended(id, attempt, status, reply) => self.ended(id, attempt, status, &reply),
-            boxes::News::Served(id, attempt, reply, bytes) => {
+            boxes::News::Served(id, attempt, reply, bytes, took) => {
+                let asked = self.copies.as_ref().and_then(|_| self.requests.asked(id).cloned());
                 self.answer(id, Answer::Served(&reply, &bytes), Final::Served);
                 self.ended(id, attempt, Status::Ok, &reply);
+                if let Some(query) = asked {
+                    self.served(&query, &reply, &bytes, took);
+                }
             }
             boxes::News::Begun(id, attempt, key, shape, length) => {
                 // Danger: it may have been called off since, and something else sent in its place.
@@ -199,11 +207,6 @@
     /// Tells the module how an attempt ended.
     fn ended(&mut self, id: RequestId, attempt: u32, status: Status, reply: &resp::Reply) {
         let Some(a) = self.requests.end(id, attempt) else { return };
-        let hit = match &reply.note[..] {
-            b"hit" => Some(true),
-            b"miss" | b"pending" => Some(false),
-            _ => None,
-        };
         self.events.push_back(Event::Outcome(Outcome {
             id,
             attempt,
@@ -211,7 +214,7 @@
             status,
             elapsed: self.turn.now.saturating_sub(a.sent),
             last: false,
-            hit,
+            hit: hit(reply),
             load: load(&reply.load, &self.config.columns),
         }));
         // The module is no longer concerned with it, and nothing is under way for it.
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -103,10 +103,14 @@
 
     /// Writes the command for a cache node, but for a write's value, with the time that the proxy will wait.
     pub fn encode(&self, ms: u64, out: &mut Vec<u8>) {
+        self.encode_as(self.id(), ms, out);
+    }
+
+    /// The same under another id.
+    pub fn encode_as(&self, id: &[u8], ms: u64, out: &mut Vec<u8>) {
         // Writing to a vector cannot fail.
         let _ = write!(out, "*{}\r\n", self.command.arity());
-        for i in 0..3 {
-            let arg = self.command.arg(i);
+        for arg in [self.command.arg(0), self.command.arg(1), id] {
             let _ = write!(out, "${}\r\n", arg.len());
             out.extend_from_slice(arg);
             out.extend_from_slice(b"\r\n");
@@ -298,6 +302,11 @@
         Some(out.swap_remove(at))
     }
 
+    /// What the client of a request asked that waits for its answer.
+    pub fn asked(&self, id: RequestId) -> Option<&Rc<Query>> {
+        self.open.get(&id).filter(|o| !o.answered).map(|o| &o.query)
+    }
+
     /// There is such a request, and it waits for its answer.
     pub fn waits(&self, id: RequestId) -> bool {
         self.open.get(&id).is_some_and(|o| !o.answered)
--- a/crates/proxy/src/timers.rs
+++ b/crates/proxy/src/timers.rs
@@ -17,6 +17,8 @@
     Connect(usize, u64),
     /// The same connection may be tried over another address as well.
     Stagger(usize, u64),
+    /// A copy's time is up, by its number.
+    Copy(u64),
     /// The round over all connections, for what waits too long.
     Sweep,
     /// The listener after it ran out of descriptors.
--- a/crates/proxy/src/turn.rs
+++ b/crates/proxy/src/turn.rs
@@ -35,11 +35,13 @@
     Controller(usize),
     /// An operator's call.
     Caller(usize),
+    /// A connection to a candidate, which gets copies alone.
+    Candidate(usize),
 }
 
 impl Source {
     /// The kinds of which there are many leave this much room for their numbers' kind.
-    const KINDS: usize = 6;
+    const KINDS: usize = 7;
 
     /// The token that a socket of this kind is registered under.
     pub fn token(self) -> Token {
@@ -56,6 +58,7 @@
             Source::Controller(key) => many(3, key),
             Source::Rival(key) => many(4, key),
             Source::Caller(key) => many(5, key),
+            Source::Candidate(key) => many(6, key),
         })
     }
 
@@ -79,7 +82,8 @@
             (2, key) => Source::Box(key),
             (3, key) => Source::Controller(key),
             (4, key) => Source::Rival(key),
-            (_, key) => Source::Caller(key),
+            (5, key) => Source::Caller(key),
+            (_, key) => Source::Candidate(key),
         }
     }
 }
@@ -132,6 +136,11 @@
         self.poll.registry()
     }
 
+    /// Where sockets are registered, and what falls due when.
+    pub fn parts(&mut self) -> (&Registry, &mut Timers) {
+        (self.poll.registry(), &mut self.timers)
+    }
+
     /// Looks at the clock.
     pub fn tick(&mut self) {
         self.now = self.clock.now();
@@ -162,7 +171,8 @@
     fn every_source_comes_back_from_its_token() {
         let ones = [Source::Listener, Source::Terminate, Source::Hangup, Source::Control, Source::Admin];
         let many = (0..9).flat_map(|i| {
-            [Source::Client(i), Source::Box(i), Source::Rival(i), Source::Controller(i), Source::Caller(i)]
+            let peers = [Source::Client(i), Source::Box(i), Source::Rival(i), Source::Candidate(i)];
+            peers.into_iter().chain([Source::Controller(i), Source::Caller(i)])
         });
         let all: Vec<Source> = ones.into_iter().chain((0..2).map(Source::Discovery)).chain(many).collect();
         for (i, source) in all.iter().enumerate() {
--- /dev/null
+++ b/crates/shadow/src/compare.rs
@@ -0,0 +1,279 @@
+//! The comparison: what the candidate answered beside what the live box had.
+//!
+//! Both were read one after the other, so a record may have changed between. A difference therefore counts only once it
+//! has been asked for again: with the next live read of the same key, whose answer tells whether the record changed.
+
+use crate::Nanos;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// What one side had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// A value with this digest.
+    Value(u64),
+    /// It says that there is no such record.
+    Missing,
+    /// It turned the read away, unseen.
+    Busy,
+    /// Another error, an answer that can't be read or is too long, or a connection that ended.
+    Error,
+    /// It had not answered when the copy's time was up.
+    Late,
+}
+
+/// How often what was found. Every copy that ended is in one of these, but for those in doubt still.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Both had the same.
+    pub equal: u64,
+    /// They differed, and the record was seen to change between the reads.
+    pub changed: u64,
+    /// A write to the key, or another live value, was seen while the copy was out: nothing can be said.
+    pub crossed: u64,
+    /// The candidate had an earlier value of the live side.
+    pub stale: u64,
+    /// It had another value, also when asked again.
+    pub wrong: u64,
+    /// It had another value, and the live one when asked again, which had not changed.
+    pub passing: u64,
+    /// It had no such record where the live side had one.
+    pub missing: u64,
+    /// It had a record where the live side had none.
+    pub surplus: u64,
+    /// It turned the copy away.
+    pub busy: u64,
+    /// It failed.
+    pub error: u64,
+    /// It was late.
+    pub late: u64,
+    /// It differed, and was not read again in time, or there were too many doubts.
+    pub unsettled: u64,
+}
+
+impl Tally {
+    /// Copies of which it is known whether they differ.
+    pub fn compared(&self) -> u64 {
+        self.equal + self.different()
+    }
+
+    /// Those that do.
+    pub fn different(&self) -> u64 {
+        self.stale + self.wrong + self.passing + self.missing + self.surplus
+    }
+
+    /// Takes in what another proxy found.
+    pub fn add(&mut self, other: &Tally) {
+        self.equal += other.equal;
+        self.changed += other.changed;
+        self.crossed += other.crossed;
+        self.stale += other.stale;
+        self.wrong += other.wrong;
+        self.passing += other.passing;
+        self.missing += other.missing;
+        self.surplus += other.surplus;
+        self.busy += other.busy;
+        self.error += other.error;
+        self.late += other.late;
+        self.unsettled += other.unsettled;
+    }
+}
+
+/// A difference that waits for the next read of its key.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    live: u64,
+    candidate: u64,
+    at: Nanos,
+}
+
+/// Differences in doubt at the most.
+pub const DOUBTS: usize = 256;
+/// Live values that are remembered at the most.
+const PLACES: usize = 4_096;
+
+/// The last live values of keys, in a table of fixed size: a key drives out another one of the same slot.
+#[derive(Clone, Debug)]
+struct Lives(Vec<(u64, u64, Option<u64>)>);
+
+impl Lives {
+    fn slot(&self, place: u64) -> usize {
+        (place % PLACES as u64) as usize
+    }
+
+    /// The live side has this now. True if it had something else before.
+    fn note(&mut self, place: u64, digest: u64) -> bool {
+        let slot = self.slot(place);
+        let known = &mut self.0[slot];
+        if known.0 != place {
+            *known = (place, digest, None);
+            return false;
+        }
+        let changed = known.1 != digest;
+        if changed {
+            *known = (place, digest, Some(known.1));
+        }
+        changed
+    }
+
+    /// What it had before the present value.
+    fn before(&self, place: u64) -> Option<u64> {
+        let known = self.0[self.slot(place)];
+        known.2.filter(|_| known.0 == place)
+    }
+}
+
+/// The comparison of both sides.
+#[derive(Clone, Debug)]
+pub struct Comparison {
+    /// What was found.
+    pub tally: Tally,
+    doubts: BTreeMap<u64, Doubt>,
+    lives: Lives,
+    /// A doubt that has stood for so long is dropped.
+    patience: Nanos,
+}
+
+impl Comparison {
+    /// Nothing found. A difference is held in doubt for so long.
+    pub fn new(patience: Nanos) -> Self {
+        let lives = Lives(vec![(0, 0, None); PLACES]);
+        Comparison { tally: Tally::default(), doubts: BTreeMap::new(), lives, patience }
+    }
+
+    /// The live side answered a read. True if it had another value before.
+    pub fn live(&mut self, place: u64, digest: u64) -> bool {
+        self.lives.note(place, digest)
+    }
+
+    /// Differences that wait.
+    pub fn in_doubt(&self) -> usize {
+        self.doubts.len()
+    }
+
+    /// A difference of this key waits for its next read.
+    pub fn doubts(&self, place: u64) -> bool {
+        self.doubts.contains_key(&place)
+    }
+
+    /// A copy ended. `crossed`: the record may have changed while it was out.
+    pub fn ended(&mut self, place: u64, live: Side, candidate: Side, crossed: bool, now: Nanos) {
+        let t = &mut self.tally;
+        match (live, candidate) {
+            (_, Side::Busy) => t.busy += 1,
+            (_, Side::Error) => t.error += 1,
+            (_, Side::Late) => t.late += 1,
+            _ if crossed => t.crossed += 1,
+            (Side::Missing, Side::Missing) => t.equal += 1,
+            (Side::Value(_), Side::Missing) => t.missing += 1,
+            (Side::Missing, Side::Value(_)) => t.surplus += 1,
+            (Side::Value(live), Side::Value(candidate)) => self.values(place, live, candidate, now),
+            // A live side that failed has nothing to compare with.
+            _ => t.unsettled += 1,
+        }
+    }
+
+    fn values(&mut self, place: u64, live: u64, candidate: u64, now: Nanos) {
+        if let Some(doubt) = self.doubts.remove(&place) {
+            let before = self.lives.before(place);
+            let t = &mut self.tally;
+            let moved = doubt.live != live;
+            let settled = if candidate == live {
+                t.equal += 1;
+                match (moved, before == Some(doubt.candidate)) {
+                    (true, _) => &mut t.changed,
+                    (false, true) => &mut t.stale,
+                    (false, false) => &mut t.passing,
+                }
+            } else if (moved && candidate == doubt.live) || before == Some(candidate) {
+                &mut t.stale
+            } else {
+                &mut t.wrong
+            };
+            *settled += 1;
+        } else if live == candidate {
+            self.tally.equal += 1;
+        } else if self.doubts.len() < DOUBTS {
+            self.doubts.insert(place, Doubt { live, candidate, at: now });
+        } else {
+            self.tally.unsettled += 1;
+        }
+    }
+
+    /// Drops doubts that have stood too long.
+    pub fn tick(&mut self, now: Nanos) {
+        let (before, patience) = (self.doubts.len(), self.patience);
+        self.doubts.retain(|_, d| now.saturating_sub(d.at) < patience);
+        self.tally.unsettled += (before - self.doubts.len()) as u64;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::SECOND;
+
+    const KEY: u64 = 77;
+
+    /// Reads of one key: what live and candidate had, in order.
+    fn played(reads: &[(u64, u64)]) -> Tally {
+        let mut c = Comparison::new(10 * SECOND);
+        for (live, candidate) in reads {
+            c.live(KEY, *live);
+            c.ended(KEY, Side::Value(*live), Side::Value(*candidate), false, 0);
+        }
+        c.tally
+    }
+
+    #[test]
+    fn a_difference_is_told_apart_once_it_was_asked_for_again() {
+        let none = Tally::default();
+        assert_eq!(played(&[(1, 1), (1, 2)]), Tally { equal: 1, ..none }, "in doubt, it does not count yet");
+        assert_eq!(played(&[(1, 2), (2, 2)]), Tally { equal: 1, changed: 1, ..none });
+        assert_eq!(played(&[(1, 9), (1, 9)]), Tally { wrong: 1, ..none });
+        assert_eq!(played(&[(1, 8), (1, 9)]), Tally { wrong: 1, ..none });
+        assert_eq!(played(&[(1, 9), (1, 1)]), Tally { equal: 1, passing: 1, ..none });
+        // One version behind: seen as such by the live value before, or as the live side moves on.
+        assert_eq!(played(&[(1, 1), (2, 1), (2, 1)]), Tally { equal: 1, stale: 1, ..none });
+        assert_eq!(played(&[(1, 1), (2, 1), (2, 2)]), Tally { equal: 2, stale: 1, ..none });
+        assert_eq!(played(&[(2, 1), (3, 2)]), Tally { stale: 1, ..none });
+    }
+
+    #[test]
+    fn one_side_alone_and_crossed_ones_have_their_own_counts() {
+        let mut c = Comparison::new(SECOND);
+        let one = Side::Value(1);
+        c.ended(KEY, one, Side::Missing, false, 0);
+        c.ended(KEY, Side::Missing, one, false, 0);
+        c.ended(KEY, Side::Missing, Side::Missing, false, 0);
+        c.ended(KEY, one, Side::Busy, true, 0);
+        c.ended(KEY, one, Side::Error, false, 0);
+        c.ended(KEY, one, Side::Late, false, 0);
+        c.ended(KEY, one, Side::Value(2), true, 0);
+        let expected = Tally {
+            missing: 1,
+            surplus: 1,
+            equal: 1,
+            busy: 1,
+            error: 1,
+            late: 1,
+            crossed: 1,
+            ..Tally::default()
+        };
+        assert_eq!((c.tally, c.in_doubt()), (expected, 0));
+        assert_eq!((c.tally.different(), c.tally.compared()), (2, 3));
+    }
+
+    #[test]
+    fn doubts_are_bounded_and_do_not_stand_for_ever() {
+        let mut c = Comparison::new(SECOND);
+        for place in 0..DOUBTS as u64 + 5 {
+            c.ended(place, Side::Value(1), Side::Value(2), false, 0);
+        }
+        assert_eq!((c.in_doubt(), c.tally.unsettled), (DOUBTS, 5));
+        c.tick(SECOND - 1);
+        assert_eq!(c.in_doubt(), DOUBTS);
+        c.tick(SECOND);
+        assert_eq!((c.in_doubt(), c.tally.unsettled), (0, DOUBTS as u64 + 5));
+    }
+}
