--- a/crates/agent/src/api.rs
+++ b/crates/agent/src/api.rs
@@ -1,6 +1,6 @@
 //! The agent's API: HTTP/1.1 and JSON, over a Unix-domain socket, and over TCP for who has the token.
 
-use crate::host::{Message, Order};
+use crate::host::{Message, Order, ShadowOrder};
 use fleet::Rejection;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -167,9 +167,15 @@
                 self.find(|to| Message::Operation(id, to), "no such operation, or it is long over").await
             }
             (&Method::POST, ["v1", "operations"]) => self.write(request).await,
-            (_, ["v1", "fleet" | "watch" | "operations"] | ["v1", "instances" | "operations", _]) => {
-                error(StatusCode::METHOD_NOT_ALLOWED, "method", "GET reads, POST /v1/operations writes")
-            }
+            (&Method::POST, ["v1", "shadow"]) => self.shadow(request).await,
+            (
+                _,
+                ["v1", "fleet" | "watch" | "operations" | "shadow"] | ["v1", "instances" | "operations", _],
+            ) => error(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "method",
+                "GET reads, POST /v1/operations and /v1/shadow write",
+            ),
             _ => error(StatusCode::NOT_FOUND, "path", format!("there is no {path}")),
         }
     }
@@ -212,26 +218,45 @@
         (status, json!({"change": now, "fleet": fleet}))
     }
 
-    async fn write(&self, request: Request<Incoming>) -> Answer {
+    /// The body of a request.
+    async fn body<T: serde::de::DeserializeOwned>(request: Request<Incoming>) -> Result<T, Answer> {
         let body = Limited::new(request.into_body(), MAX_BODY).collect();
         let body = match tokio::time::timeout(PATIENCE, body).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(_)) => {
-                return error(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    "body",
-                    format!("over {MAX_BODY} bytes, or not whole"),
-                )
+                let message = format!("over {MAX_BODY} bytes, or not whole");
+                return Err(error(StatusCode::PAYLOAD_TOO_LARGE, "body", message));
+            }
+            Err(_) => {
+                return Err(error(StatusCode::REQUEST_TIMEOUT, "body", "the body did not come in time"))
             }
-            Err(_) => return error(StatusCode::REQUEST_TIMEOUT, "body", "the body did not come in time"),
         };
-        let write: Write = match serde_json::from_slice(&body) {
+        serde_json::from_slice(&body).map_err(|e| error(StatusCode::BAD_REQUEST, "invalid", e.to_string()))
+    }
+
+    async fn shadow(&self, request: Request<Incoming>) -> Answer {
+        let order: ShadowOrder = match Api::body(request).await {
+            Ok(order) => order,
+            Err(answer) => return answer,
+        };
+        let (answer, answered) = oneshot::channel();
+        let _ = self.messages.send(Message::Shadow(order, answer));
+        Api::done(answered).await
+    }
+
+    async fn write(&self, request: Request<Incoming>) -> Answer {
+        let write: Write = match Api::body(request).await {
             Ok(write) => write,
-            Err(e) => return error(StatusCode::BAD_REQUEST, "invalid", e.to_string()),
+            Err(answer) => return answer,
         };
         let (answer, answered) = oneshot::channel();
         let Write { id, base, force, dry_run, command: order } = write;
         let _ = self.messages.send(Message::Submit { id, base, force, dry_run, order, answer });
+        Api::done(answered).await
+    }
+
+    /// What became of an order.
+    async fn done(answered: oneshot::Receiver<Result<Value, Rejection>>) -> Answer {
         match answered.await {
             Ok(Ok(done)) => (StatusCode::OK, done),
             Ok(Err(e)) => {
--- a/crates/agent/src/host.rs
+++ b/crates/agent/src/host.rs
@@ -17,6 +17,13 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot, watch};
 
+/// A lease for copies of reads, and how often it is renewed.
+const LEASE: Duration = Duration::from_secs(10);
+const RENEW: Duration = Duration::from_secs(3);
+/// The longest that copying is kept up, in milliseconds.
+const LONGEST_COPYING_MS: u64 = 7 * 24 * 3_600 * 1_000;
+/// An instance has so long to answer.
+const PATIENCE: Duration = Duration::from_secs(3);
 /// How often time passes for the fleet's choices.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -80,10 +87,50 @@
     Fleet(oneshot::Sender<Value>),
     /// One instance with its boxes.
     Inspect(String, oneshot::Sender<Option<Value>>),
+    /// Copies of reads to candidates, and where what the instances say of it goes.
+    Shadow(ShadowOrder, oneshot::Sender<Result<Value, Rejection>>),
     /// End the agent; the instances run on.
     Stop,
 }
 
+/// What can be asked of copies of reads: of the named instances, or of all.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(tag = "op", rename_all = "kebab-case", deny_unknown_fields)]
+pub enum ShadowOrder {
+    /// Copy for so long. The agent renews a short lease meanwhile: without it, copying ends by itself.
+    Start {
+        /// Number of this order; later ones are greater.
+        generation: u64,
+        /// How long, in milliseconds.
+        for_ms: u64,
+        /// Instances.
+        #[serde(default)]
+        names: Option<Vec<String>>,
+    },
+    /// Copy no more.
+    Stop {
+        /// Number of this order.
+        generation: u64,
+        /// Instances.
+        #[serde(default)]
+        names: Option<Vec<String>>,
+    },
+    /// How it stands, and what it shows.
+    Status {
+        /// Instances.
+        #[serde(default)]
+        names: Option<Vec<String>>,
+    },
+}
+
+/// Copying that the agent keeps up. It is not written down: an agent that dies lets it end.
+struct Copying {
+    generation: u64,
+    until: Instant,
+    names: Vec<String>,
+    renewed: Instant,
+}
+
 struct Running {
     process: Process,
     asks: mpsc::Sender<Ask>,
@@ -101,6 +148,7 @@
     /// Each instance's last list, and the version of the one that the fleet was told.
     known: BTreeMap<String, Value>,
     boxes_from: u64,
+    copying: Option<Copying>,
     started: Instant,
     messages: mpsc::UnboundedSender<Message>,
     changed: watch::Sender<u64>,
@@ -139,6 +187,7 @@
             running: BTreeMap::new(),
             known,
             boxes_from: 0,
+            copying: None,
             started: Instant::now(),
             folder,
             program,
@@ -179,6 +228,7 @@
                 },
                 _ = tick.tick() => {
                     self.look()?;
+                    self.renew();
                     self.event(Event::Tick)?;
                 }
             }
@@ -224,6 +274,7 @@
                 let _ = answer.send(self.describe());
             }
             Message::Inspect(name, answer) => self.inspect(&name, answer),
+            Message::Shadow(order, answer) => self.shadow(order, answer),
         }
         self.changed.send_modify(|n| *n += 1);
         Ok(())
@@ -302,15 +353,19 @@
             config["known"] = known.clone();
         }
         replace(&folder.join("config.json"), config.to_string().as_bytes(), false)?;
+        let state_file = folder.join("state");
         let operator = format!(
-            "version = 1\n\n[control]\nsocket = {}\nstate_file = {}\n",
+            "{}\n[control]\nsocket = {}\nstate_file = {}\n",
+            config["operator"].as_str().unwrap_or("version = 1\n"),
             json!(link::socket(&folder)),
-            json!(folder.join("state"))
+            json!(state_file)
         );
         replace(&folder.join("operator.toml"), operator.as_bytes(), false)?;
         let boxes = self.fleet.plan().drained_boxes.clone();
-        let state = State { revision, boxes, drained, ..State::default() };
-        replace(&folder.join("state"), state.encode().as_bytes(), false)?;
+        // What stopped copies of reads at the process before is the instance's own to remember.
+        let before = fs::read_to_string(&state_file).ok().and_then(|t| State::decode(&t).ok());
+        let state = State { revision, boxes, drained, ..before.unwrap_or_default() };
+        replace(&state_file, state.encode().as_bytes(), false)?;
         Process::start(&self.program, &self.folder, &folder, name, incarnation)
     }
 
@@ -417,6 +472,88 @@
         });
     }
 
+    // ---- copies of reads ----
+
+    fn shadow(&mut self, order: ShadowOrder, answer: oneshot::Sender<Result<Value, Rejection>>) {
+        let named = |names: Option<Vec<String>>| -> Result<Vec<String>, Rejection> {
+            let all = &self.fleet.plan().instances;
+            let names = names.unwrap_or_else(|| all.keys().cloned().collect());
+            match names.iter().find(|n| !all.contains_key(*n)) {
+                Some(unknown) => Err(Rejection::Invalid(format!("there is no instance {unknown:?}"))),
+                None => Ok(names),
+            }
+        };
+        let checked = match order {
+            ShadowOrder::Start { for_ms, .. } if !(1_000..=LONGEST_COPYING_MS).contains(&for_ms) => {
+                let what = format!("for_ms is {for_ms}; 1000 to {LONGEST_COPYING_MS} is allowed");
+                Err(Rejection::Invalid(what))
+            }
+            ShadowOrder::Start { generation, for_ms, names } => named(names).map(|names| {
+                let length = Duration::from_millis(for_ms);
+                let op = Op::ShadowStart { generation, lease_ms: LEASE.min(length).as_millis() as u64 };
+                (op, names, Some((generation, length)))
+            }),
+            ShadowOrder::Stop { generation, names } => {
+                named(names).map(|names| (Op::ShadowStop { generation }, names, None))
+            }
+            ShadowOrder::Status { names } => named(names).map(|names| (Op::ShadowStatus, names, None)),
+        };
+        let (op, names, started) = match checked {
+            Ok(checked) => checked,
+            Err(why) => return drop(answer.send(Err(why))),
+        };
+        let now = Instant::now();
+        if let Some((generation, length)) = started {
+            // One order is kept up at a time: instances that it does not name end with their lease.
+            let names = names.clone();
+            self.copying = Some(Copying { generation, until: now + length, names, renewed: now });
+        } else if matches!(op, Op::ShadowStop { .. }) {
+            self.copying.iter_mut().for_each(|c| c.names.retain(|n| !names.contains(n)));
+        }
+        let asked: Vec<_> = names.into_iter().map(|name| (self.ask(&name, op.clone()), name)).collect();
+        tokio::spawn(async move {
+            let mut told = serde_json::Map::new();
+            for (answered, name) in asked {
+                let away = || json!({"error": {"code": "away", "message": "the instance does not answer"}});
+                let one = match answered {
+                    None => away(),
+                    Some(answered) => match tokio::time::timeout(PATIENCE, answered).await {
+                        Ok(Ok(Ok(done))) => json!({"ok": done}),
+                        Ok(Ok(Err(e))) => json!({"error": e}),
+                        Ok(Err(_)) | Err(_) => away(),
+                    },
+                };
+                told.insert(name, one);
+            }
+            let _ = answer.send(Ok(json!({"instances": told})));
+        });
+    }
+
+    /// Asks a running instance.
+    fn ask(&self, name: &str, op: Op) -> Option<oneshot::Receiver<Result<Told, control::Error>>> {
+        let (to, answered) = oneshot::channel();
+        self.running.get(name)?.asks.try_send((op, to)).ok().map(|()| answered)
+    }
+
+    /// Keeps the instances copying for as long as that was ordered.
+    fn renew(&mut self) {
+        let now = Instant::now();
+        let Some(copying) = &mut self.copying else { return };
+        let left = copying.until.saturating_duration_since(now);
+        if left < Duration::from_secs(1) || copying.names.is_empty() {
+            self.copying = None;
+            return;
+        }
+        if now.duration_since(copying.renewed) < RENEW {
+            return;
+        }
+        copying.renewed = now;
+        let (generation, lease_ms) = (copying.generation, LEASE.min(left).as_millis() as u64);
+        let names = copying.names.clone();
+        // One that has stopped by itself refuses; that is its own to say.
+        names.iter().for_each(|name| drop(self.ask(name, Op::ShadowStart { generation, lease_ms })));
+    }
+
     // ---- commands ----
 
     fn submit(
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -7,6 +7,7 @@
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
 use testkit::agent::{http, Agent};
+use testkit::controller::Controller;
 use testkit::scripted::PATIENCE;
 use testkit::world::{Asked, End, Load, World, WorldConfig};
 
@@ -322,3 +323,70 @@
     let error = String::from_utf8_lossy(&out.stderr).into_owned();
     assert!(!out.status.success() && error.contains("another agent has this folder"), "{error}");
 }
+
+#[test]
+fn copies_of_reads_go_on_by_a_lease_alone_and_an_instance_that_dies_remembers_that_they_stopped() {
+    let mut config = WorldConfig::new(97, 5, 2);
+    config.unlisted = 1;
+    let world = World::start(config);
+    let mut agent = Agent::start();
+    let operator = format!(
+        "version = 1\n[shadow]\ncandidates = [\"{}\"]\nclasses = [\"pack-lookup\"]\nmisses_per_second = 100\n",
+        world.boxes[4].addresses[0]
+    );
+    let mut desired = agent.desired(&world, 2, |c| c["operator"] = json!(operator));
+    desired["policy"] = quick();
+    let id = agent.order(&json!({"apply": desired}));
+    agent.until(&id, "applied", LONG);
+    let ask = |agent: &Agent, order: Value| {
+        agent.try_ask("POST", "/v1/shadow", &order.to_string()).expect("an answer")
+    };
+    let state = |agent: &Agent, name: &str| {
+        let (status, told) = ask(agent, json!({"op": "status"}));
+        assert_eq!(status, 200, "{told}");
+        told["instances"][name]["ok"]["status"]["state"].clone()
+    };
+    for wrong in [
+        json!({"op": "start", "generation": 1, "for_ms": 999}),
+        json!({"op": "start", "generation": 1, "for_ms": 5_000, "names": ["n7"]}),
+        json!({"op": "begin"}),
+        json!({"op": "status", "name": "n0"}),
+    ] {
+        let (status, told) = ask(&agent, wrong);
+        assert_eq!((status, &told["error"]["code"]), (400, &json!("invalid")), "{told}");
+    }
+    assert_eq!(state(&agent, "n0"), json!({"state": "off"}));
+    let (status, told) = ask(&agent, json!({"op": "start", "generation": 8, "for_ms": 600_000}));
+    assert_eq!(
+        (status, &told["instances"]["n1"]["ok"]["status"]["state"]["state"]),
+        (200, &json!("on")),
+        "{told}"
+    );
+    let first = state(&agent, "n0")["until"].as_u64().expect("a lease");
+    agent.wait("the lease is renewed", PATIENCE, |a| state(a, "n0")["until"].as_u64() > Some(first));
+    // Stopped at one, which then dies: what it says is not forgotten, and the other one goes on.
+    let (_, told) = ask(&agent, json!({"op": "stop", "generation": 9, "names": ["n0"]}));
+    assert_eq!(told["instances"].as_object().map(|i| i.len()), Some(1), "{told}");
+    let before = agent.processes();
+    agent.signal("n0", "-KILL");
+    agent.wait("n0 is back", LONG, |a| {
+        a.processes().len() == 2 && a.processes() != before && state(a, "n0")["state"] == "stopped"
+    });
+    assert_eq!(state(&agent, "n0"), json!({"state": "stopped", "reason": "asked"}));
+    assert_eq!(state(&agent, "n1")["state"], "on");
+    // The agent is lost: nobody renews the lease.
+    agent.kill();
+    let mut n1 = Controller::connect(&agent.folder.0.join("instances/n1/control.sock"));
+    let begun = std::time::Instant::now();
+    loop {
+        let told = n1.ok(json!({"op": "shadow-status"}))["status"]["state"].clone();
+        if told == json!({"state": "stopped", "reason": "lease"}) {
+            break;
+        }
+        assert!(told["state"] == "on" && begun.elapsed() < PATIENCE, "{told}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    // The next agent begins nothing by itself.
+    agent.run(&[], &[]);
+    agent.wait("the next agent has contact", LONG, |a| state(a, "n1")["state"] == "stopped");
+}
--- a/crates/ctl/src/file.rs
+++ b/crates/ctl/src/file.rs
@@ -40,6 +40,8 @@
     zone: String,
     /// Relative to the file.
     config: PathBuf,
+    /// An operator's file for it, without `[control]`, which is the agent's. Relative to the file.
+    operator: Option<PathBuf>,
 }
 
 /// Reads a fleet's file with all that it names, as the agent's `apply` wants it.
@@ -91,7 +93,14 @@
                 }
             }
         }
-        let config: Value = serde_json::from_str(&text).unwrap_or_default();
+        let mut config: Value = serde_json::from_str(&text).unwrap_or_default();
+        if let Some(told) = &one.operator {
+            let at = path.parent().unwrap_or(Path::new(".")).join(told);
+            match operators(&at, &name) {
+                Ok(text) => config["operator"] = json!(text),
+                Err(why) => faults.extend(why.into_iter().map(|e| format!("{place}: instance {name}: {e}"))),
+            }
+        }
         if instances.insert(name.clone(), json!({"zone": one.zone, "config": config})).is_some() {
             faults.push(format!("{place}: instance {name} is named twice"));
         }
@@ -103,6 +112,23 @@
     }
 }
 
+/// A fault of an operator's file, as a line.
+fn fault(path: &Path, f: &operator::Fault) -> String {
+    let colon = if f.key.is_empty() { "" } else { ": " };
+    format!("{}: {}{colon}{}", path.display(), f.key, f.reason)
+}
+
+/// The operator's file of an instance that an agent runs; the agent says where it is steered.
+fn operators(path: &Path, name: &str) -> Result<String, Vec<String>> {
+    let place = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| vec![format!("{place}: {e}")])?;
+    let whole = format!("{text}\n[control]\nsocket = \"/control.sock\"\n");
+    match operator::Operator::parse(&whole, name) {
+        Ok(_) => Ok(text),
+        Err(faults) => Err(faults.iter().map(|f| fault(path, f)).collect()),
+    }
+}
+
 /// Checks a file of any kind: a proxy's configuration (`.json`), a fleet's file, an operator's file.
 ///
 /// # Errors
@@ -132,12 +158,6 @@
                 Err(faults)
             }
         }
-        Err(invalid) => {
-            let line = |f: &operator::Fault| {
-                let colon = if f.key.is_empty() { "" } else { ": " };
-                format!("{place}: {}{colon}{}", f.key, f.reason)
-            };
-            Err(invalid.faults.iter().map(line).collect())
-        }
+        Err(invalid) => Err(invalid.faults.iter().map(|f| fault(path, f)).collect()),
     }
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod dev;
 mod file;
 mod run;
+mod shadow;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use client::{Address, Agent, Failure};
@@ -108,6 +109,11 @@
         /// Instances; all of them where none is named.
         names: Vec<String>,
     },
+    /// Copy some reads to boxes that are not in service yet, and compare.
+    Shadow {
+        #[command(subcommand)]
+        what: shadow::Command,
+    },
     /// Tell how an operation stands.
     Operation {
         /// Its id.
@@ -290,6 +296,7 @@
                 }
             }
         }
+        Command::Shadow { what } => shadow::execute(what, agents, force, voice).await,
         Command::Check { files } => check(files, voice),
         Command::Completions { .. } | Command::Dev(_) | Command::Password { .. } => Exit::Done,
     }
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -534,11 +534,16 @@
             self.wasted += 1;
             return;
         };
+        let served = self.hosts[proxy].open.get(&id).filter(|o| !o.answered && status == Status::Ok);
+        let read = served.map(|o| o.key).zip(hit);
         if status == Status::Ok {
             self.answer(proxy, id, End::Served);
         }
         self.ended(proxy, id, attempt, status, hit);
         self.decide(proxy);
+        if let Some((key, hit)) = read.filter(|_| self.copies.is_some()) {
+            self.copy(proxy, key, hit, (!answered.behind).then_some(answered.took));
+        }
     }
 
     // ---- answers ----
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,6 +6,7 @@
 mod arrivals;
 mod boxes;
 mod chance;
+mod copies;
 mod discovery;
 mod host;
 mod judge;
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -55,6 +55,8 @@
     pub discovery: Discovery,
     /// What is asked.
     pub traffic: Traffic,
+    /// Copies of reads to candidates.
+    pub shadow: Shadow,
     /// What goes wrong.
     pub faults: Vec<FaultSpec>,
     /// So many faults more, drawn from the seed.
@@ -76,6 +78,7 @@
             origin: Origin::default(),
             discovery: Discovery::default(),
             traffic: Traffic::default(),
+            shadow: Shadow::default(),
             faults: Vec::new(),
             random_faults: 0,
             holds: Holds::default(),
@@ -325,6 +328,44 @@
     }
 }
 
+/// Copies of reads to candidates that stand beside the boxes, with nothing cached. The keys are those of the operator's
+/// file, `[shadow]`; a misses budget past what reads there are is none.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Shadow {
+    /// Candidates; 0: nothing is copied.
+    pub candidates: usize,
+    /// Of the keys, at the most, ...
+    pub share: f64,
+    /// ... and at first.
+    pub first_share: f64,
+    /// The share doubles no sooner than this.
+    pub step_s: f64,
+    /// Of one proxy.
+    pub copies_per_second: usize,
+    /// Of one proxy, each with one copy.
+    pub connections: usize,
+    /// Over all proxies.
+    pub misses_per_second: u32,
+    /// A copy is given up after that.
+    pub deadline_ms: f64,
+}
+
+impl Default for Shadow {
+    fn default() -> Self {
+        Shadow {
+            candidates: 0,
+            share: 0.1,
+            first_share: 0.01,
+            step_s: 30.0,
+            copies_per_second: 100,
+            connections: 8,
+            misses_per_second: 1_000_000,
+            deadline_ms: 500.0,
+        }
+    }
+}
+
 /// A point of the rate.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
@@ -577,6 +618,15 @@
         if self.kinds.iter().map(|k| k.share).sum::<f64>() <= 0.0 {
             c.add("kinds", "no kind has a share".into());
         }
+        let s = &self.shadow;
+        c.whole("shadow.candidates", s.candidates, 0, 64);
+        c.float("shadow.share", s.share, 1e-6, 1.0);
+        c.float("shadow.first_share", s.first_share, 1e-6, 1.0);
+        c.float("shadow.step_s", s.step_s, 0.1, 3_600.0);
+        c.whole("shadow.copies_per_second", s.copies_per_second, 1, 10_000);
+        c.whole("shadow.connections", s.connections, 1, 256);
+        c.whole("shadow.misses_per_second", s.misses_per_second as usize, 2, 1_000_000);
+        c.float("shadow.deadline_ms", s.deadline_ms, 10.0, 10_000.0);
         let o = &self.origin;
         c.whole("origin.places", o.places, 1, 1_000_000);
         c.float("origin.work_ms", o.work_ms, 0.001, 60_000.0);
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -3,6 +3,7 @@
 use crate::arrivals::{Arrival, Arrivals};
 use crate::boxes::{CacheBox, Job};
 use crate::chance::Chance;
+use crate::copies::{Copies, Step, CANDIDATE};
 use crate::discovery::Discovery;
 use crate::host::{Connection, Host, Known};
 use crate::judge::{Breaches, Rule};
@@ -132,6 +133,7 @@
     List { proxy: usize, life: u32, kind: ListKind, entries: Rc<Vec<(u32, Entry)>> },
     Publish(Rc<Vec<(u32, Entry)>>),
     Do(Op),
+    Copy(Step),
     Second,
 }
 
@@ -199,7 +201,9 @@
     pub requests: Vec<Asked>,
     front: Vec<bool>,
     discovery: Discovery,
-    origin: Origin,
+    pub origin: Origin,
+    /// Copies of reads to candidates, where there are any.
+    pub copies: Option<Copies>,
     /// A connection that was idle for so long is not used again.
     pub idle_after: Nanos,
     /// How connections to boxes are chosen.
@@ -249,6 +253,7 @@
             front: vec![true; t.proxies],
             discovery: Discovery::new(&scenario.discovery),
             origin: Origin::new(&scenario.origin),
+            copies: Copies::new(&scenario.shadow, t.proxies),
             idle_after: (seconds(t.idle_s) as f64 * IDLE_PART) as Nanos,
             pipes: t.pipes(),
             arrivals: Arrivals::new(scenario, seed),
@@ -290,6 +295,9 @@
         }
         sim.next_request();
         sim.at(SECOND, Ev::Second);
+        if sim.copies.is_some() {
+            sim.at(0, Ev::Copy(Step::Look));
+        }
         sim
     }
 
@@ -377,6 +385,7 @@
         let life = u64::from(host.life);
         let seed = Chance::new(self.seed, 1_000 + proxy as u64 + (life << 32)).bits();
         host.policy = Some((self.make)(proxy, &settings, seed));
+        self.copies.iter_mut().for_each(|c| c.start(proxy, settings.proxies, self.now));
         let mut entries = Vec::new();
         for (at, known) in self.hosts[proxy].known.clone().into_iter().enumerate() {
             let Some(state) = known.state.filter(|s| *s != State::Gone) else { continue };
@@ -706,6 +715,7 @@
 
     /// An answer goes to a client.
     pub fn tell(&mut self, request: u32, number: u32, proxy: usize, end: End) {
+        self.copies.iter_mut().for_each(|c| c.answered(proxy, end));
         self.note(request, || format!("proxy {proxy} answers try {number}: {end:?}"));
         let way = millis(self.scenario.topology.client_delay_ms);
         self.at(self.now + way, Ev::Told { request, number, end });
@@ -864,6 +874,10 @@
         while let Some(((to, job), takes)) = self.origin.next() {
             self.at(self.now + takes, Ev::Ledger { to, job });
         }
+        if to == CANDIDATE {
+            self.copy_fetched(at, true);
+            return;
+        }
         let Some((job, _)) = self.jobs[at as usize].clone() else { return };
         if let Some(request) = job.write {
             if self.origin.write(job.key, request, job.sent) {
@@ -1061,6 +1075,7 @@
             }
             Ev::Publish(entries) => self.publish(&entries),
             Ev::Do(op) => self.op(op),
+            Ev::Copy(step) => self.copy_step(step),
             Ev::Second => self.second(),
             _ => {}
         }
@@ -1124,6 +1139,9 @@
         let parts: Vec<f64> = there.map(|(b, _)| b.part(self.now)).collect();
         let s = &mut gathered.summary;
         (s.attempts, s.wasted, s.opened) = (self.all_attempts, self.wasted, self.all_opened);
+        if let Some(copies) = &self.copies {
+            (s.copies, s.copy_fetches, s.copy_fetches_peak) = copies.counts();
+        }
         (s.fetches, s.origin_busy) = (self.origin.fetches, self.origin.turned_away);
         s.boxes_busy = parts.iter().sum::<f64>() / parts.len().max(1) as f64;
         s.busiest_box = parts.iter().copied().fold(0.0, f64::max);
--- a/crates/model/src/summary.rs
+++ b/crates/model/src/summary.rs
@@ -65,6 +65,15 @@
     pub fetches: u64,
     /// Turned away by the origin.
     pub origin_busy: u64,
+    /// Reads copied to candidates, ...
+    #[serde(default)]
+    pub copies: u64,
+    /// ... fetches for them, ...
+    #[serde(default)]
+    pub copy_fetches: u64,
+    /// ... and the most of these in any second.
+    #[serde(default)]
+    pub copy_fetches_peak: u64,
     /// The part of the time of all boxes' cores that was worked, by work begun; ...
     pub boxes_busy: f64,
     /// ... of the busiest box's; ...
--- a/crates/model/tests/runs.rs
+++ b/crates/model/tests/runs.rs
@@ -249,3 +249,25 @@
         assert!(s.attempts_each() > 1.0, "{}", s.attempts_each());
     }
 }
+
+#[test]
+fn cold_candidates_fetch_no_more_than_their_budget_whatever_proxies_do() {
+    let shadow = |candidates: usize, misses: u32| {
+        scenario(&format!(
+            "[topology]\nproxies = 20\n[traffic]\nrate = 600\nkeys = 20000\n[shadow]\ncandidates = {candidates}\n\
+             share = 1.0\nfirst_share = 1.0\nstep_s = 1.0\nmisses_per_second = {misses}\n\
+             [[faults]]\nat_s = 3.0\nlasts_s = 1.0\nkind = 'die'\nproxies = 0.5\n\
+             [[faults]]\nat_s = 6.0\nlasts_s = 2.0\nkind = 'origin-stops'"
+        ))
+    };
+    for seed in 1..4 {
+        let [off, on, free] =
+            [(0, 80), (2, 80), (2, 1_000_000)].map(|(c, m)| play(&shadow(c, m), "shipped", seed));
+        assert_eq!((off.copies, off.copy_fetches, off.copy_fetches_peak), (0, 0, 0));
+        assert!(on.copies > 200 && on.copy_fetches > 100, "seed {seed}: {} copies", on.copies);
+        assert!(on.copy_fetches_peak <= 80, "seed {seed}: {} fetches in a second", on.copy_fetches_peak);
+        // The budget is what holds them.
+        assert!(free.copy_fetches_peak > 160, "seed {seed}: {} without one", free.copy_fetches_peak);
+        assert!([&off, &on, &free].iter().all(|s| s.breaches.is_empty()), "seed {seed}");
+    }
+}
--- a/crates/proxy/src/platform/config.rs
+++ b/crates/proxy/src/platform/config.rs
@@ -77,6 +77,8 @@
     pub longest: Nanos,
     /// The list as this proxy last had it.
     pub known: Option<News>,
+    /// The text of the operator's file that an agent gives this proxy with its configuration. It is read at start.
+    pub operator: Option<String>,
 }
 
 impl Config {
@@ -145,6 +147,7 @@
             longest: settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0),
             settings,
             known,
+            operator: json["operator"].as_str().map(str::to_owned),
         })
     }
 }
@@ -166,6 +169,7 @@
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
             ("admin_addr", self.admin != new.admin),
+            ("operator", self.operator != new.operator),
             ("limits.memory_mb", self.memory_mb != new.memory_mb),
             ("limits.sockets", self.sockets != new.sockets),
             // Requests are under way by the number of their class and the rules that it has.
--- a/crates/shadow/src/lib.rs
+++ b/crates/shadow/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod compare;
 mod machine;
+pub mod promote;
 pub mod ramp;
 pub mod sample;
 pub mod verdict;
--- a/crates/shadow/src/ramp.rs
+++ b/crates/shadow/src/ramp.rs
@@ -15,6 +15,8 @@
 const EVIDENCE: u32 = 20;
 /// Live misses of which the mean has to be known before a rise of it says something.
 const MISSES: u32 = 32;
+/// The least mean is forgotten by this with each miss: after some 7,000 it counts as twice as long.
+const LEAK: f64 = 1.0001;
 
 /// What makes copying fall to nothing at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -103,9 +105,10 @@
     /// The last outcomes, a bit each; set: failed.
     last: u64,
     seen: u32,
-    /// What live misses take, over the last dozen and over the last few hundred, and how many there were.
+    /// What live misses take: the mean of the last dozen and of the last few hundred, and the least that the latter was.
     short: f64,
     long: f64,
+    least: f64,
     misses: u32,
 }
 
@@ -125,14 +128,16 @@
             seen: 0,
             short: 0.0,
             long: 0.0,
+            least: f64::INFINITY,
             misses: 0,
         }
     }
 
     /// Begins anew from the first level.
     pub fn begin(&mut self, now: Nanos) {
-        let (short, long, misses) = (self.short, self.long, self.misses);
-        *self = Ramp { since: now, short, long, misses, ..Ramp::new(self.first, self.most, self.step) };
+        let (short, long, least, misses) = (self.short, self.long, self.least, self.misses);
+        *self =
+            Ramp { since: now, short, long, least, misses, ..Ramp::new(self.first, self.most, self.step) };
     }
 
     /// Parts of the keys that are copied.
@@ -170,7 +175,12 @@
         let part = |least: f64| (1.0 / f64::from(self.misses)).max(least);
         self.short += (took - self.short) * part(1.0 / 12.0);
         self.long += (took - self.long) * part(1.0 / 256.0);
-        if self.misses >= MISSES && self.short > 2.0 * self.long {
+        if self.misses < MISSES {
+            return;
+        }
+        // Danger: against the mean alone, an origin that slows bit by bit would pass for what it always was.
+        self.least = (self.least * LEAK).min(self.long);
+        if self.short > 2.0 * self.least {
             self.fall(Trouble::OriginSlow, now);
         }
     }
@@ -239,6 +249,10 @@
             ramp.missed(100 * MS, SECOND);
         }
         assert_eq!(ramp.trouble().map(|t| t.0), Some(Trouble::OriginSlow));
+        // One that slows bit by bit is as slow in the end.
+        let mut gradual = Ramp::new(1_000, 5_000, SECOND);
+        (0..2_000).for_each(|i| gradual.missed(30 * MS + i * MS / 20, i * MS));
+        assert_eq!(gradual.trouble().map(|t| t.0), Some(Trouble::OriginSlow));
         ramp.begin(2 * SECOND);
         (1..ROW).for_each(|_| assert!(ramp.ended(false, true, 2 * SECOND).is_none() && ramp.level() > 0));
         ramp.ended(false, true, 2 * SECOND);
--- a/crates/shadow/src/verdict.rs
+++ b/crates/shadow/src/verdict.rs
@@ -101,7 +101,10 @@
     let centre = p + Z * Z / (2.0 * n);
     let spread = Z * (p * (1.0 - p) / n + Z * Z / (4.0 * n * n)).sqrt();
     let under = 1.0 + Z * Z / n;
-    Interval { low: ((centre - spread) / under).max(0.0), high: ((centre + spread) / under).min(1.0) }
+    // At the edges rounding would leave a trace of what is none.
+    let low = if some == 0 { 0.0 } else { ((centre - spread) / under).max(0.0) };
+    let high = if some == all { 1.0 } else { ((centre + spread) / under).min(1.0) };
+    Interval { low, high }
 }
 
 /// A quantile in milliseconds, and between what it lies by the ranks of a binomial (Conover, 1999). Nothing where there
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -99,6 +99,8 @@
     pub origin: (usize, Duration),
     /// How much later than a change discovery tells of it.
     pub lag: Duration,
+    /// So many of the boxes, the last ones, are not in service: discovery does not list them.
+    pub unlisted: usize,
 }
 
 impl WorldConfig {
@@ -115,7 +117,7 @@
             .collect();
         let distance = Duration::from_millis(3);
         let origin = (64, Duration::from_millis(20));
-        WorldConfig { seed, zones, distance, boxes, proxies, origin, lag: Duration::ZERO }
+        WorldConfig { seed, zones, distance, boxes, proxies, origin, lag: Duration::ZERO, unlisted: 0 }
     }
 }
 
@@ -167,8 +169,9 @@
         origin.caches(boxes.iter().map(|b| b.cache()).collect());
         let discovery = Arc::new(Discovery::new(clock, config.proxies, config.zones.clone(), config.lag));
         let world = World { clock, network, origin, boxes, discovery, config, spawn, thread: Some(thread) };
-        for one in &world.boxes {
-            world.serve_box(one);
+        world.boxes.iter().for_each(|one| world.serve_box(one));
+        let listed = world.boxes.len().saturating_sub(world.config.unlisted);
+        for one in &world.boxes[..listed] {
             world.discovery.add(one, world.config.zones[one.config.zone].clone());
         }
         let discovery = world.discovery.clone();
