--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -144,6 +144,8 @@
     pub status: shadow::Status,
     /// What it shows at this instance alone.
     pub report: shadow::Report,
+    /// Keys of answers that differed, the latest first, where the operator wants them.
+    pub samples: Vec<shadow::Sample>,
     /// Times by the names of classes, in base64 what `shadow::verdict::Times` writes: those of several instances can be
     /// added.
     pub times: BTreeMap<String, String>,
--- a/crates/model/src/copies.rs
+++ b/crates/model/src/copies.rs
@@ -90,6 +90,7 @@
             deadline: millis(t.deadline_ms),
             tolerance: Tolerance::default(),
             stop_different: 1.0,
+            samples: 0,
         };
         let mut one = Shadow::new(settings, Kept::default(), now);
         // A first order is never refused.
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -164,6 +164,9 @@
     /// `stop_different`: copying stops by itself where more than this share of answers differs, beyond chance; 0 to 1, 0.05
     /// by default.
     pub stop_different: f64,
+    /// `samples`: so many keys of answers that differed are kept, and told as they are; 0 to 64. 0 by default: keys are kept
+    /// as hashes alone.
+    pub samples: usize,
 }
 
 /// `[control]`.
@@ -416,6 +419,7 @@
         let tolerated_different = s.number("tolerated_different", 0.0..=1.0, errors).unwrap_or(0.001);
         let tolerated_slower = s.number("tolerated_slower", 0.0..=10.0, errors).unwrap_or(0.1);
         let stop_different = s.number("stop_different", 0.0..=1.0, errors).unwrap_or(0.05);
+        let samples = s.integer("samples", 0..=64, errors).unwrap_or(0) as usize;
         s.finish(errors);
         Some(Shadow {
             candidates,
@@ -436,6 +440,7 @@
             tolerated_different,
             tolerated_slower,
             stop_different,
+            samples,
         })
     }
 }
--- a/crates/proxy/src/copies.rs
+++ b/crates/proxy/src/copies.rs
@@ -88,6 +88,7 @@
         deadline: told.deadline_ms * MS,
         tolerance: Tolerance { different: told.tolerated_different, slower: told.tolerated_slower },
         stop_different: told.stop_different,
+        samples: told.samples,
     };
     if told.misses_per_second < 2 * proxies[0] {
         faults.push(format!(
@@ -415,6 +416,7 @@
         Copying {
             status: self.shadow.status(),
             report: self.shadow.report(),
+            samples: self.shadow.samples().copied().collect(),
             times: self
                 .shadow
                 .times()
--- a/crates/shadow/src/compare.rs
+++ b/crates/shadow/src/compare.rs
@@ -79,6 +79,22 @@
     }
 }
 
+/// A difference that counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Difference {
+    /// As [`Tally::stale`].
+    Stale,
+    /// As [`Tally::wrong`].
+    Wrong,
+    /// As [`Tally::passing`].
+    Passing,
+    /// As [`Tally::missing`].
+    Missing,
+    /// As [`Tally::surplus`].
+    Surplus,
+}
+
 /// A difference that waits for the next read of its key.
 #[derive(Clone, Copy, Debug)]
 struct Doubt {
@@ -156,8 +172,16 @@
         self.doubts.contains_key(&place)
     }
 
-    /// A copy ended. `crossed`: the record may have changed while it was out.
-    pub fn ended(&mut self, place: u64, live: Side, candidate: Side, crossed: bool, now: Nanos) {
+    /// A copy ended. `crossed`: the record may have changed while it was out. What it showed, if that is a difference
+    /// which counts.
+    pub fn ended(
+        &mut self,
+        place: u64,
+        live: Side,
+        candidate: Side,
+        crossed: bool,
+        now: Nanos,
+    ) -> Option<Difference> {
         let t = &mut self.tally;
         match (live, candidate) {
             (_, Side::Busy) => t.busy += 1,
@@ -165,32 +189,45 @@
             (_, Side::Late) => t.late += 1,
             _ if crossed => t.crossed += 1,
             (Side::Missing, Side::Missing) => t.equal += 1,
-            (Side::Value(_), Side::Missing) => t.missing += 1,
-            (Side::Missing, Side::Value(_)) => t.surplus += 1,
-            (Side::Value(live), Side::Value(candidate)) => self.values(place, live, candidate, now),
+            (Side::Value(_), Side::Missing) => {
+                t.missing += 1;
+                return Some(Difference::Missing);
+            }
+            (Side::Missing, Side::Value(_)) => {
+                t.surplus += 1;
+                return Some(Difference::Surplus);
+            }
+            (Side::Value(live), Side::Value(candidate)) => return self.values(place, live, candidate, now),
             // A live side that failed has nothing to compare with.
             _ => t.unsettled += 1,
         }
+        None
     }
 
-    fn values(&mut self, place: u64, live: u64, candidate: u64, now: Nanos) {
+    fn values(&mut self, place: u64, live: u64, candidate: u64, now: Nanos) -> Option<Difference> {
         if let Some(doubt) = self.doubts.remove(&place) {
             let before = self.lives.before(place);
             let t = &mut self.tally;
             let moved = doubt.live != live;
-            let settled = if candidate == live {
+            let difference = if candidate == live {
                 t.equal += 1;
                 match (moved, before == Some(doubt.candidate)) {
-                    (true, _) => &mut t.changed,
-                    (false, true) => &mut t.stale,
-                    (false, false) => &mut t.passing,
+                    (true, _) => None,
+                    (false, true) => Some(Difference::Stale),
+                    (false, false) => Some(Difference::Passing),
                 }
             } else if (moved && candidate == doubt.live) || before == Some(candidate) {
-                &mut t.stale
+                Some(Difference::Stale)
             } else {
-                &mut t.wrong
+                Some(Difference::Wrong)
             };
-            *settled += 1;
+            match difference {
+                None => t.changed += 1,
+                Some(Difference::Stale) => t.stale += 1,
+                Some(Difference::Passing) => t.passing += 1,
+                Some(_) => t.wrong += 1,
+            }
+            return difference;
         } else if live == candidate {
             self.tally.equal += 1;
         } else if self.doubts.len() < DOUBTS {
@@ -198,6 +235,7 @@
         } else {
             self.tally.unsettled += 1;
         }
+        None
     }
 
     /// Drops doubts that have stood too long.
--- a/crates/shadow/src/lib.rs
+++ b/crates/shadow/src/lib.rs
@@ -14,8 +14,10 @@
 pub mod sample;
 pub mod verdict;
 
-pub use compare::{Side, Tally};
-pub use machine::{Cause, Copy, Counts, Ended, Kept, Read, Refused, Settings, Shadow, State, Status, CAUSES};
+pub use compare::{Difference, Side, Tally};
+pub use machine::{
+    Cause, Copy, Counts, Ended, Kept, Read, Refused, Sample, Settings, Shadow, State, Status, CAUSES,
+};
 pub use ramp::{Stop, Trouble, Vitals};
 pub use verdict::{Report, Word};
 
--- a/crates/shadow/src/machine.rs
+++ b/crates/shadow/src/machine.rs
@@ -1,13 +1,13 @@
 //! The state machine: reads that were served go in, copies come out, and what became of those goes in again.
 
 use crate::budget::{part, Misses, Rate, Work};
-use crate::compare::{Comparison, Side};
+use crate::compare::{Comparison, Difference, Side};
 use crate::ramp::{Ramp, Stop, Trouble, Vitals};
 use crate::sample::{candidate, is_in, place, Tenants};
 use crate::verdict::{share, Report, Times, Tolerance};
 use crate::{Nanos, MS, SECOND};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Differences below which nothing stops.
 const COMPARED: u64 = 100;
@@ -45,6 +45,8 @@
     pub tolerance: Tolerance,
     /// The share of different answers at which copying stops.
     pub stop_different: f64,
+    /// So many keys of answers that differed are kept, the latest ones. 0: none is.
+    pub samples: usize,
 }
 
 impl Settings {
@@ -146,6 +148,17 @@
     pub hits: Vec<[u64; 2]>,
 }
 
+/// A key whose answers differed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sample {
+    /// The key.
+    pub key: u64,
+    /// Its class, by number.
+    pub class: u32,
+    /// How they differed.
+    pub how: Difference,
+}
+
 /// Whether reads are copied.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "state")]
@@ -205,6 +218,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Open {
+    key: u64,
     place: u64,
     candidate: u64,
     class: u32,
@@ -230,6 +244,7 @@
     open: BTreeMap<u64, Open>,
     comparison: Comparison,
     times: BTreeMap<u32, Times>,
+    samples: VecDeque<Sample>,
     counts: Counts,
     /// The number of the latest span.
     span: u64,
@@ -255,6 +270,7 @@
             open: BTreeMap::new(),
             comparison: Comparison::new(10 * settings.step),
             times: BTreeMap::new(),
+            samples: VecDeque::new(),
             counts: Counts::default(),
             span: 0,
             number: 0,
@@ -424,8 +440,8 @@
         self.rate.take(self.now);
         self.misses.take(number, until);
         self.counts.copies += 1;
-        let Read { class, live, hit, took, .. } = *read;
-        self.open.insert(number, Open { place, candidate, class, live, hit, took, crossed: false });
+        let Read { key, class, live, hit, took, .. } = *read;
+        self.open.insert(number, Open { key, place, candidate, class, live, hit, took, crossed: false });
         Copy { number, candidate, until }
     }
 
@@ -446,7 +462,11 @@
         let Some(open) = self.open.remove(&number) else { return Vec::new() };
         let answered = matches!(ended.side, Side::Value(_) | Side::Missing);
         self.misses.ended(number, answered.then_some(ended.hit == Some(true)), self.now);
-        self.comparison.ended(open.place, open.live, ended.side, open.crossed, self.now);
+        let how = self.comparison.ended(open.place, open.live, ended.side, open.crossed, self.now);
+        if let Some(how) = how.filter(|_| self.settings.samples > 0) {
+            self.samples.truncate(self.settings.samples - 1);
+            self.samples.push_front(Sample { key: open.key, class: open.class, how });
+        }
         if let (Side::Value(_), Side::Value(_), Some(took)) = (open.live, ended.side, open.took) {
             let warm = open.hit == Some(true) && ended.hit == Some(true);
             self.times.entry(open.class).or_default().add(warm, took, ended.took);
@@ -513,6 +533,11 @@
         &self.times
     }
 
+    /// Keys of answers that differed, the latest first.
+    pub fn samples(&self) -> impl Iterator<Item = &Sample> {
+        self.samples.iter()
+    }
+
     /// What the copies show.
     pub fn report(&self) -> Report {
         let times = self.times.iter().map(|(class, t)| (*class, t));
--- a/crates/shadow/tests/machine.rs
+++ b/crates/shadow/tests/machine.rs
@@ -28,6 +28,7 @@
         deadline: DEADLINE,
         tolerance: Tolerance::default(),
         stop_different: 0.05,
+        samples: 0,
     }
 }
 
@@ -202,6 +203,23 @@
     assert_eq!(shadow.report().answers, Word::Worse);
 }
 
+#[test]
+fn keys_are_kept_only_where_they_are_wanted_and_no_more_than_that() {
+    for samples in [0, 1, 3] {
+        let (mut shadow, now) = started(Settings { samples, stop_different: 1.0, ..settings() }, &[9]);
+        for _ in 0..2 {
+            for key in 0..5 {
+                let copy = shadow.read(&read(key, 1), now).expect("a copy");
+                shadow.ended(copy.number, had(2, true), now);
+            }
+        }
+        assert_eq!(shadow.report().tally.wrong, 5);
+        let kept: Vec<(u64, Difference)> = shadow.samples().map(|s| (s.key, s.how)).collect();
+        let latest = [4, 3, 2].map(|key| (key, Difference::Wrong));
+        assert_eq!(kept, latest[..samples]);
+    }
+}
+
 // ---- budgets ----
 
 /// The most of these times that lie in one second.
