--- a/crates/ctl/src/shadow.rs
+++ b/crates/ctl/src/shadow.rs
@@ -218,19 +218,19 @@
     all.filter_map(|(what, n)| Some((what.clone(), n.as_u64()?))).collect()
 }
 
+/// Between which shares answers differ, of how many, and what that says.
+fn answers(report: &Report) -> String {
+    let Report { different, tally, .. } = report;
+    let (low, high) = (different.low * 100.0, different.high * 100.0);
+    format!("{low:.4}% to {high:.4}% of {}, {}", tally.compared(), word(report.answers))
+}
+
 fn text(report: &Report, classes: &[String], instances: usize) -> String {
     let mut out = format!("{}, by copies at {instances} instances\n", word(report.word));
     let found: Vec<String> = counts(&report.tally).iter().map(|(what, n)| format!("{what} {n}")).collect();
     // Writing to a string cannot fail.
     let _ = writeln!(out, "answers: {}", found.join(", "));
-    let _ = writeln!(
-        out,
-        "different: {:.4}% to {:.4}% of {}: {}",
-        report.different.low * 100.0,
-        report.different.high * 100.0,
-        report.tally.compared(),
-        word(report.answers)
-    );
+    let _ = writeln!(out, "different: {}", answers(report));
     for q in &report.times {
         let [class, part, live, candidate, more, said] = quantile(q, classes);
         let _ =
@@ -259,14 +259,7 @@
         table{border-collapse:collapse}tr{border-bottom:1px solid #ccc}</style>\n"
         .to_owned();
     let _ = writeln!(out, "<h1>The candidates: {}</h1>", word(report.word));
-    let _ = writeln!(
-        out,
-        "<p>Different answers: between {:.4}% and {:.4}% of {} (95%): {}.</p>",
-        report.different.low * 100.0,
-        report.different.high * 100.0,
-        report.tally.compared(),
-        word(report.answers)
-    );
+    let _ = writeln!(out, "<p>Different answers (95%): {}.</p>", answers(report));
     out += &table(
         &["answers", "copies"],
         counts(&report.tally).into_iter().map(|(w, n)| vec![w, n.to_string()]),
