Copies: a live value that is passed on as it comes is counted as too long

Cause: reads that are served in parts never reached the choices of copying, so they were dropped without being counted by cause (found on reading again). The test fails without the call (seen); all tests of the proxy pass.

--- a/crates/proxy/src/copies.rs
+++ b/crates/proxy/src/copies.rs
@@ -190,16 +190,21 @@
         let value = bytes.get(reply.value.clone()).unwrap_or_default();
         let wanted = self.shadow.wants(query.class, query.tenant, query.key) && value.len() <= self.longest;
         let live = if wanted { Side::Value(Digest::of(value)) } else { Side::Error };
-        let read = Read {
-            class: query.class,
-            tenant: query.tenant,
-            key: query.key,
-            live,
-            length: value.len(),
-            hit: hit(reply),
-            took,
-        };
-        if let Some(copy) = self.shadow.read(&read, now) {
+        self.observe(query, live, value.len(), hit(reply), took, now);
+    }
+
+    /// The same, told to the choices.
+    fn observe(
+        &mut self,
+        query: &Rc<Query>,
+        live: Side,
+        length: usize,
+        hit: Option<bool>,
+        took: Option<Nanos>,
+        now: Nanos,
+    ) {
+        let (class, tenant, key) = (query.class, query.tenant, query.key);
+        if let Some(copy) = self.shadow.read(&Read { class, tenant, key, live, length, hit, took }, now) {
             self.chosen.push((copy, query.clone()));
         }
     }
@@ -461,6 +466,13 @@
         copies.shadow.worked(self.turn.clock.now().saturating_sub(begun), self.turn.now);
     }
 
+    /// A live box begins to serve a long value. It is passed on as it comes, so that it can't be compared.
+    pub(crate) fn serves_long(&mut self, query: &Rc<Query>, length: usize) {
+        if let Some(copies) = self.copies.as_mut().filter(|_| !query.write) {
+            copies.observe(query, Side::Error, length.max(copies.longest + 1), None, None, self.turn.now);
+        }
+    }
+
     /// Works for copies: the last thing in a turn.
     pub(crate) fn copy(&mut self, events: &Events) {
         let Some(copies) = &mut self.copies else { return };
--- a/crates/proxy/src/life.rs
+++ b/crates/proxy/src/life.rs
@@ -192,7 +192,11 @@
             boxes::News::Begun(id, attempt, key, shape, length) => {
                 // Danger: it may have been called off since, and something else sent in its place.
                 if self.requests.attempt(id, attempt).is_some() {
+                    let asked = self.copies.as_ref().and_then(|_| self.requests.asked(id).cloned());
                     self.begun(id, key, shape, length);
+                    if let Some(query) = asked {
+                        self.serves_long(&query, length);
+                    }
                 }
                 self.ended(id, attempt, Status::Ok, &resp::Reply::default());
             }
--- a/crates/proxy/tests/shadow.rs
+++ b/crates/proxy/tests/shadow.rs
@@ -425,3 +425,19 @@
         "{told}"
     );
 }
+
+#[test]
+fn a_value_that_is_passed_on_as_it_comes_is_counted_and_not_copied() {
+    let long = answering(|_| Some(hit(&"v".repeat(100 << 10))));
+    let (candidate, asked) = remembering();
+    let (proxy, mut controller) = copying_within(&live(long), &[candidate], 50, 8, |_| {});
+    let mut client = proxy.client();
+    for key in 0..5 {
+        client.get(key, "read", 15_000);
+        assert_eq!(client.command()[0].len(), 100 << 10);
+    }
+    let told = until(&mut controller, |t| t["status"]["counts"]["reads"] == 5);
+    let long = shadow::CAUSES.iter().position(|(_, word)| *word == "long").expect("a cause");
+    assert_eq!(told["status"]["counts"]["dropped"][long], 5, "{told}");
+    assert!(asked.lock().expect("a lock").is_empty());
+}
