Read again: copying does less on orders and while off; twins in tool, agent and tests merged

Cause: reading the whole change once more. Behaviour is meant to stay as it is.

While copying is off its host takes no query and reads no clock for an answer. The words hit, miss and pending are Reply's to read. The tool's two ways of finding who has an instance are one (run::owners), its exit code is run::all; the agent's requests to instances go through one ask. The most of any second is counted by one function for two tests and the model. What live misses take is a struct of its own; a set, a sort and a swap that did nothing are gone, as is the test kit's search for a port at any address, which had one caller.

No assertion changed.

--- a/crates/agent/src/host.rs
+++ b/crates/agent/src/host.rs
@@ -459,16 +459,18 @@
                 }
             }
         };
-        let (answer, answered) = oneshot::channel();
-        let asked = running.asks.try_send((op, answer)).is_ok();
+        let asked = self.ask(&name, op);
         tokio::spawn(async move {
-            let answer = match answered.await {
-                Ok(Ok(Told::Reconfigured(r))) if !r.applied => Some(Answer::NeedsRestart),
-                Ok(Ok(_)) => Some(Answer::Done),
-                Ok(Err(e)) => Some(Answer::Refused(e.message)),
-                Err(_) => None,
+            let answered = match asked {
+                Some(answered) => answered.await.ok(),
+                None => None,
             };
-            let _ = messages.send(Message::Answered(name, pid, answer.filter(|_| asked)));
+            let answer = answered.map(|told| match told {
+                Ok(Told::Reconfigured(r)) if !r.applied => Answer::NeedsRestart,
+                Ok(_) => Answer::Done,
+                Err(e) => Answer::Refused(e.message),
+            });
+            let _ = messages.send(Message::Answered(name, pid, answer));
         });
     }
 
@@ -716,7 +718,7 @@
                     break;
                 }
                 let Ok(Ok(Ok(Told::Boxes(Page { boxes: page, more })))) =
-                    tokio::time::timeout(Duration::from_secs(3), answered).await
+                    tokio::time::timeout(PATIENCE, answered).await
                 else {
                     break;
                 };
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -190,35 +190,18 @@
 
 /// Gives each agent the command for those of the named instances that it has.
 async fn at_owners(agents: &[Agent], named: &Names, verb: &str, cli: &Cli, voice: Voice) -> Exit {
-    let mut jobs: Vec<(Agent, Value)> = Vec::new();
-    let mut missing = named.names.clone();
-    let mut unreached = false;
-    for agent in agents {
-        match run::names(agent).await {
-            Ok(known) => {
-                missing.retain(|n| !known.contains(n));
-                let own: Vec<String> =
-                    known.into_iter().filter(|n| named.all || named.names.contains(n)).collect();
-                if !own.is_empty() {
-                    jobs.push((agent.clone(), json!({ verb: own })));
-                }
-            }
-            Err(e) => {
-                voice.complain(agent, &e.to_string());
-                unreached = true;
-            }
-        }
-    }
-    if !missing.is_empty() {
-        eprintln!("trestlectl: no agent has {}; see: trestlectl status", missing.join(", "));
+    // Either names or `--all`: without names they are all.
+    let owned = run::owners(agents, &named.names, voice).await;
+    if !owned.missing.is_empty() {
+        owned.complain();
         return Exit::Failed;
     }
     let (force, base) = (cli.force, cli.base);
     let mut exits = Vec::new();
-    for (agent, command) in &jobs {
-        exits.push(run::give(agent, command, force, base, voice).await);
+    for (agent, own) in &owned.at {
+        exits.push(run::give(agent, &json!({ verb: own }), force, base, voice).await);
     }
-    if unreached {
+    if owned.unreached {
         exits.push(Exit::Failed);
     }
     run::all(exits)
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -276,6 +276,47 @@
     }
 }
 
+/// Instances by the agents that have them.
+pub struct Owned {
+    /// Each agent with those of the wanted instances that it has, if any.
+    pub at: Vec<(Agent, Vec<String>)>,
+    /// Names that nobody has who answers.
+    pub missing: Vec<String>,
+    /// An agent did not answer; that has been said.
+    pub unreached: bool,
+}
+
+impl Owned {
+    /// Says which names nobody has.
+    pub fn complain(&self) {
+        if !self.missing.is_empty() {
+            eprintln!("trestlectl: no agent has {}; see: trestlectl status", self.missing.join(", "));
+        }
+    }
+}
+
+/// Which agents have these instances; without names, all that they have.
+pub async fn owners(agents: &[Agent], wanted: &[String], voice: Voice) -> Owned {
+    let mut owned = Owned { at: Vec::new(), missing: wanted.to_vec(), unreached: false };
+    for agent in agents {
+        match names(agent).await {
+            Ok(known) => {
+                owned.missing.retain(|n| !known.contains(n));
+                let own: Vec<String> =
+                    known.into_iter().filter(|n| wanted.is_empty() || wanted.contains(n)).collect();
+                if !own.is_empty() {
+                    owned.at.push((agent.clone(), own));
+                }
+            }
+            Err(e) => {
+                voice.complain(agent, &e.to_string());
+                owned.unreached = true;
+            }
+        }
+    }
+    owned
+}
+
 /// The names of an agent's instances.
 pub async fn names(agent: &Agent) -> Result<Vec<String>, Failure> {
     let fleet = agent.ask(Method::GET, "/v1/fleet", None).await?;
--- a/crates/ctl/src/shadow.rs
+++ b/crates/ctl/src/shadow.rs
@@ -1,7 +1,7 @@
 //! `trestlectl shadow`: copies of reads to candidates, at many instances of several agents.
 
 use crate::client::Agent;
-use crate::run::{Exit, Voice};
+use crate::run::{all, owners, Exit, Voice};
 use base64::prelude::{Engine, BASE64_STANDARD};
 use clap::Subcommand;
 use control::message::Copying;
@@ -84,27 +84,21 @@
 /// Gives an order to all agents, each for those of the named instances that it has. What was said, and whether every agent
 /// and each name was found.
 async fn ask(agents: &[Agent], names: &[String], order: &Value, voice: Voice) -> (Vec<Said>, bool) {
-    let (mut said, mut whole) = (Vec::new(), true);
-    let mut missing: Vec<&String> = names.iter().collect();
-    for agent in agents {
-        let mut order = order.clone();
-        if !names.is_empty() {
-            let known = match crate::run::names(agent).await {
-                Ok(known) => known,
-                Err(e) => {
-                    voice.complain(agent, &e.to_string());
-                    whole = false;
-                    continue;
-                }
-            };
-            let own: Vec<&String> = names.iter().filter(|n| known.contains(n)).collect();
-            missing.retain(|n| !own.contains(n));
-            if own.is_empty() {
-                continue;
-            }
+    let (mut said, mut whole, mut jobs) = (Vec::new(), true, Vec::new());
+    if names.is_empty() {
+        jobs.extend(agents.iter().map(|a| (a.clone(), order.clone())));
+    } else {
+        let owned = owners(agents, names, voice).await;
+        owned.complain();
+        whole = !owned.unreached && owned.missing.is_empty();
+        for (agent, own) in owned.at {
+            let mut order = order.clone();
             order["names"] = json!(own);
+            jobs.push((agent, order));
         }
-        match agent.ask(Method::POST, "/v1/shadow", Some(&order)).await {
+    }
+    for (agent, order) in &jobs {
+        match agent.ask(Method::POST, "/v1/shadow", Some(order)).await {
             Ok(told) => {
                 for (name, one) in told["instances"].as_object().into_iter().flatten() {
                     let copying = match serde_json::from_value(one["ok"].clone()) {
@@ -120,21 +114,13 @@
             }
         }
     }
-    for name in missing {
-        eprintln!("trestlectl: no agent has {name}; see: trestlectl status");
-        whole = false;
-    }
     (said, whole)
 }
 
 /// How it went: done only where every instance answered so, failed where none did.
 fn exit(said: &[Said], whole: bool) -> Exit {
-    let done = said.iter().filter(|s| s.copying.is_ok()).count();
-    match (done, whole && done == said.len()) {
-        (0, _) => Exit::Failed,
-        (_, true) => Exit::Done,
-        _ => Exit::Unknown,
-    }
+    let each = said.iter().map(|s| if s.copying.is_ok() { Exit::Done } else { Exit::Failed });
+    all(each.chain((!whole || said.is_empty()).then_some(Exit::Failed)))
 }
 
 fn state(copying: &Copying) -> String {
--- a/crates/model/src/copies.rs
+++ b/crates/model/src/copies.rs
@@ -3,8 +3,9 @@
 
 use crate::scenario;
 use crate::sim::{End, Ev, Sim};
-use crate::{millis, seconds, Nanos, MS, SECOND};
-use rustc_hash::{FxHashMap, FxHashSet};
+use crate::{millis, seconds, Nanos, MS};
+use rustc_hash::FxHashMap;
+use shadow::budget::most_in_a_second;
 use shadow::sample::{Tenants, WHOLE};
 use shadow::verdict::Tolerance;
 use shadow::{Ended, Kept, Read, Settings, Shadow, Side, Vitals};
@@ -108,10 +109,8 @@
 
     /// Copies sent, fetches for them, and the most of these in any second.
     pub fn counts(&self) -> (u64, u64, u64) {
-        let mut at = self.fetched.clone();
-        at.sort_unstable();
-        let most = at.iter().enumerate().map(|(i, t)| at[i..].partition_point(|u| *u < t + SECOND));
-        (self.out.len() as u64, at.len() as u64, most.max().unwrap_or(0) as u64)
+        let most = most_in_a_second(self.fetched.clone());
+        (self.out.len() as u64, self.fetched.len() as u64, most as u64)
     }
 }
 
@@ -193,11 +192,8 @@
             candidate.cache.insert(one.key, self.origin.version(one.key));
         }
         let others = candidate.fetching.remove(&one.key).unwrap_or_default();
-        let all: FxHashSet<u32> = others.into_iter().chain([at]).collect();
-        let mut all: Vec<u32> = all.into_iter().collect();
-        all.sort_unstable();
         if done {
-            all.into_iter().for_each(|at| self.copy_back(at, false));
+            std::iter::once(at).chain(others).for_each(|at| self.copy_back(at, false));
         }
     }
 
--- a/crates/proxy/src/copies.rs
+++ b/crates/proxy/src/copies.rs
@@ -12,7 +12,7 @@
 use crate::{Proxy, MS};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use calicosaddle::api::{server_id, Effect, Nanos};
+use calicosaddle::api::{server_id, Effect, Nanos, RequestId};
 use control::message::{Code, Copying, Error};
 use control::State;
 use mio::net::TcpStream;
@@ -20,7 +20,7 @@
 use resp::{Kind, Reply, ReplyParser};
 use shadow::sample::{Digest, Tenants, WHOLE};
 use shadow::verdict::Tolerance;
-use shadow::{Copy, Ended, Read, Refused, Settings, Shadow, Side, Vitals};
+use shadow::{Copy, Ended, Kept, Read, Refused, Settings, Shadow, Side, Vitals};
 use slab::Slab;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read as _, Write as _};
@@ -150,16 +150,10 @@
 
 impl Copies {
     /// Nothing is copied before it is started.
-    pub fn new(
-        told: &operator::Shadow,
-        settings: Settings,
-        config: &Config,
-        kept: &State,
-        now: Nanos,
-    ) -> Self {
+    pub fn new(told: &operator::Shadow, settings: Settings, config: &Config, kept: Kept, now: Nanos) -> Self {
         let at: BTreeMap<u64, SocketAddr> =
             told.candidates.iter().map(|a| (server_id(&a.to_string()), *a)).collect();
-        let mut shadow = Shadow::new(settings, kept.shadow, now);
+        let mut shadow = Shadow::new(settings, kept, now);
         shadow.candidates(at.keys().copied().collect(), now);
         Copies {
             shadow,
@@ -190,7 +184,7 @@
         let value = bytes.get(reply.value.clone()).unwrap_or_default();
         let wanted = self.shadow.wants(query.class, query.tenant, query.key) && value.len() <= self.longest;
         let live = if wanted { Side::Value(Digest::of(value)) } else { Side::Error };
-        self.observe(query, live, value.len(), hit(reply), took, now);
+        self.observe(query, live, value.len(), reply.hit(), took, now);
     }
 
     /// The same, told to the choices.
@@ -325,7 +319,7 @@
         if long || used < input.len() {
             self.links.remove(key);
         }
-        self.ended(number, side, hit(&reply), now.saturating_sub(whole), now);
+        self.ended(number, side, reply.hit(), now.saturating_sub(whole), now);
     }
 
     /// A connection is of no more use; what it carried ended so.
@@ -444,16 +438,12 @@
     }
 }
 
-/// The box had it in its cache; nothing if it does not say.
-pub fn hit(reply: &Reply) -> Option<bool> {
-    match &reply.note[..] {
-        b"hit" => Some(true),
-        b"miss" | b"pending" => Some(false),
-        _ => None,
+impl Proxy {
+    /// What a request asked that is about to be answered, where copying has to hear of it.
+    pub(crate) fn copied(&self, id: RequestId) -> Option<Rc<Query>> {
+        self.copies.as_ref().filter(|c| c.shadow.is_on()).and_then(|_| self.requests.asked(id).cloned())
     }
-}
 
-impl Proxy {
     /// A live box served a request, and its client has the answer.
     pub(crate) fn served(&mut self, query: &Rc<Query>, reply: &Reply, bytes: &[u8], took: Option<Nanos>) {
         let begun = self.turn.clock.now();
@@ -508,6 +498,12 @@
         let room = self.config.max_open;
         let vitals = Vitals { loop_delay: late, open: self.requests.len(), room, ..Vitals::default() };
         copies.sweep(vitals, [counters.served, counters.refused], self.turn.now);
+        self.keep_copies();
+    }
+
+    /// Keeps what has to outlive the process, where that has changed.
+    pub(crate) fn keep_copies(&mut self) {
+        let Some(copies) = &self.copies else { return };
         let kept = copies.shadow.kept();
         if kept != self.kept.state.shadow {
             let state = State { shadow: kept, ..self.kept.state.clone() };
--- a/crates/proxy/src/front/operate.rs
+++ b/crates/proxy/src/front/operate.rs
@@ -124,7 +124,7 @@
         };
         order(copies, self.turn.now)?;
         self.look_for_candidates();
-        self.sweep_copies(0);
+        self.keep_copies();
         let copies = self.copies.as_ref().map(|c| c.copying(&self.config.classes));
         copies.map(|c| Answer::Copying(Box::new(c))).ok_or_else(|| Error::new(Code::Stopping, "it ends"))
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -134,7 +134,8 @@
         let control = operator.control.as_ref();
         let control = control.map(|c| Endpoint::open(c, registry, Source::Control.token())).transpose()?;
         let copies = operator.shadow.as_ref().zip(shadow);
-        let copies = copies.map(|(told, settings)| Copies::new(told, settings, &config, &kept.state, now));
+        let copies =
+            copies.map(|(told, settings)| Copies::new(told, settings, &config, kept.state.shadow, now));
         let known = config.known.take();
         let version = known.as_ref().map(|k| k.version);
         let calls = [0, 1].map(|call| Source::Discovery(call).token());
--- a/crates/proxy/src/life.rs
+++ b/crates/proxy/src/life.rs
@@ -2,7 +2,6 @@
 //! has an outcome, is decided on again, answered, observed, and retired.
 
 use crate::boxes::{self, GivenUp, Job};
-use crate::copies::hit;
 use crate::front::clients;
 use crate::path::{Final, Told, Verdict};
 use crate::request::{Answer, Place, Query};
@@ -182,7 +181,7 @@
         match news {
             boxes::News::Ended(id, attempt, status, reply) => self.ended(id, attempt, status, &reply),
             boxes::News::Served(id, attempt, reply, bytes, took) => {
-                let asked = self.copies.as_ref().and_then(|_| self.requests.asked(id).cloned());
+                let asked = self.copied(id);
                 self.answer(id, Answer::Served(&reply, &bytes), Final::Served);
                 self.ended(id, attempt, Status::Ok, &reply);
                 if let Some(query) = asked {
@@ -192,7 +191,7 @@
             boxes::News::Begun(id, attempt, key, shape, length) => {
                 // Danger: it may have been called off since, and something else sent in its place.
                 if self.requests.attempt(id, attempt).is_some() {
-                    let asked = self.copies.as_ref().and_then(|_| self.requests.asked(id).cloned());
+                    let asked = self.copied(id);
                     self.begun(id, key, shape, length);
                     if let Some(query) = asked {
                         self.serves_long(&query, length);
@@ -218,7 +217,7 @@
             status,
             elapsed: self.turn.now.saturating_sub(a.sent),
             last: false,
-            hit: hit(reply),
+            hit: reply.hit(),
             load: load(&reply.load, &self.config.columns),
         }));
         // The module is no longer concerned with it, and nothing is under way for it.
--- a/crates/resp/src/reply.rs
+++ b/crates/resp/src/reply.rs
@@ -63,6 +63,15 @@
 }
 
 impl Reply {
+    /// The cache node had it in its cache; nothing if it does not say.
+    pub fn hit(&self) -> Option<bool> {
+        match &self.note[..] {
+            b"hit" => Some(true),
+            b"miss" | b"pending" => Some(false),
+            _ => None,
+        }
+    }
+
     /// Takes in an error line: what kind it is, and the load report that may stand last.
     pub(crate) fn error(&mut self, line: &[u8]) {
         let word = line.split(|b| *b == b' ').next();
--- a/crates/shadow/src/budget.rs
+++ b/crates/shadow/src/budget.rs
@@ -4,6 +4,13 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
+/// The most of these times that lie in one second: what a budget is judged by.
+pub fn most_in_a_second(mut times: Vec<Nanos>) -> usize {
+    times.sort_unstable();
+    let within = times.iter().enumerate().map(|(i, t)| times[i..].partition_point(|u| *u < t + SECOND));
+    within.max().unwrap_or(0)
+}
+
 /// At most so many in any second: the last ones are remembered, so there is no burst at a second's edge.
 #[derive(Clone, Debug)]
 pub struct Rate {
@@ -135,14 +142,6 @@
 
     const MS: Nanos = 1_000_000;
 
-    /// The most of these times that lie in one second.
-    fn most_in_a_second(times: &[Nanos]) -> usize {
-        let mut sorted = times.to_vec();
-        sorted.sort_unstable();
-        let in_second = |(i, t): (usize, &Nanos)| sorted[i..].partition_point(|u| *u < t + SECOND);
-        sorted.iter().enumerate().map(in_second).max().unwrap_or(0)
-    }
-
     proptest! {
         #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
         #[test]
@@ -158,7 +157,7 @@
                     done.push(now);
                 }
             }
-            prop_assert!(most_in_a_second(&done) <= most);
+            prop_assert!(most_in_a_second(done) <= most);
         }
 
         #[test]
@@ -196,7 +195,7 @@
                     fetched.push(now + ((last - now) as f64 * when) as Nanos);
                 }
             }
-            prop_assert!(most_in_a_second(&fetched) <= most);
+            prop_assert!(most_in_a_second(fetched) <= most);
         }
 
         #[test]
--- a/crates/shadow/src/machine.rs
+++ b/crates/shadow/src/machine.rs
@@ -294,7 +294,7 @@
         if let Some(stop) = self.kept.stopped.filter(|_| again) {
             return Err(Refused::Stopped(stop));
         }
-        if !(again && matches!(self.state, State::On { .. })) {
+        if !(again && self.is_on()) {
             self.ramp.begin(self.now);
         }
         self.kept = Kept { generation, stopped: None };
@@ -347,10 +347,8 @@
     /// The candidates that may be asked now, by their ids. The copies to others are called off; these are told.
     pub fn candidates(&mut self, ids: Vec<u64>, now: Nanos) -> Vec<u64> {
         self.advance(now);
+        let off = self.call_off(|o| !ids.contains(&o.candidate));
         self.candidates = ids;
-        let candidates = std::mem::take(&mut self.candidates);
-        let off = self.call_off(|o| !candidates.contains(&o.candidate));
-        self.candidates = candidates;
         off
     }
 
@@ -367,10 +365,14 @@
         self.work.add(self.now, used);
     }
 
+    /// Reads are copied. While they are not, nothing has to be told of them.
+    pub fn is_on(&self) -> bool {
+        matches!(self.state, State::On { .. })
+    }
+
     /// A copy of such a read may be wanted: it is worth digesting its value. Nothing is counted.
     pub fn wants(&self, class: u32, tenant: Option<u32>, key: u64) -> bool {
-        let on = matches!(self.state, State::On { .. });
-        on && self.chosen(class, tenant) && is_in(place(self.settings.salt, key), self.ramp.level())
+        self.is_on() && self.chosen(class, tenant) && is_in(place(self.settings.salt, key), self.ramp.level())
     }
 
     fn chosen(&self, class: u32, tenant: Option<u32>) -> bool {
@@ -518,7 +520,7 @@
         Status {
             state: self.state,
             generation: self.kept.generation,
-            parts: if matches!(self.state, State::On { .. }) { self.ramp.level() } else { 0 },
+            parts: if self.is_on() { self.ramp.level() } else { 0 },
             trouble: self.ramp.trouble().map(|(what, at)| (what, since(at))),
             candidates: self.candidates.len(),
             open: self.open.len(),
--- a/crates/shadow/src/ramp.rs
+++ b/crates/shadow/src/ramp.rs
@@ -105,13 +105,35 @@
     /// The last outcomes, a bit each; set: failed.
     last: u64,
     seen: u32,
-    /// What live misses take: the mean of the last dozen and of the last few hundred, and the least that the latter was.
+    origin: Pace,
+}
+
+/// What live misses take: the mean of the last dozen and of the last few hundred, and the least that the latter was.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
     short: f64,
     long: f64,
     least: f64,
     misses: u32,
 }
 
+impl Pace {
+    /// One more took so long. True if they take twice what they took at the least.
+    fn slows(&mut self, took: Nanos) -> bool {
+        let took = took as f64;
+        self.misses = self.misses.saturating_add(1);
+        let part = |least: f64| (1.0 / f64::from(self.misses)).max(least);
+        self.short += (took - self.short) * part(1.0 / 12.0);
+        self.long += (took - self.long) * part(1.0 / 256.0);
+        if self.misses < MISSES {
+            return false;
+        }
+        // Danger: against the mean alone, an origin that slows bit by bit would pass for what it always was.
+        self.least = (self.least * LEAK).min(self.long);
+        self.short > 2.0 * self.least
+    }
+}
+
 impl Ramp {
     /// From one level to another, in parts of the keys, doubled no sooner than each `step`.
     pub fn new(first: u32, most: u32, step: Nanos) -> Self {
@@ -126,18 +148,14 @@
             row: 0,
             last: 0,
             seen: 0,
-            short: 0.0,
-            long: 0.0,
-            least: f64::INFINITY,
-            misses: 0,
+            origin: Pace { short: 0.0, long: 0.0, least: f64::INFINITY, misses: 0 },
         }
     }
 
     /// Begins anew from the first level.
     pub fn begin(&mut self, now: Nanos) {
-        let (short, long, least, misses) = (self.short, self.long, self.least, self.misses);
-        *self =
-            Ramp { since: now, short, long, least, misses, ..Ramp::new(self.first, self.most, self.step) };
+        let origin = self.origin;
+        *self = Ramp { since: now, origin, ..Ramp::new(self.first, self.most, self.step) };
     }
 
     /// Parts of the keys that are copied.
@@ -170,17 +188,7 @@
 
     /// A live miss took so long.
     pub fn missed(&mut self, took: Nanos, now: Nanos) {
-        let took = took as f64;
-        self.misses = self.misses.saturating_add(1);
-        let part = |least: f64| (1.0 / f64::from(self.misses)).max(least);
-        self.short += (took - self.short) * part(1.0 / 12.0);
-        self.long += (took - self.long) * part(1.0 / 256.0);
-        if self.misses < MISSES {
-            return;
-        }
-        // Danger: against the mean alone, an origin that slows bit by bit would pass for what it always was.
-        self.least = (self.least * LEAK).min(self.long);
-        if self.short > 2.0 * self.least {
+        if self.origin.slows(took) {
             self.fall(Trouble::OriginSlow, now);
         }
     }
--- a/crates/shadow/tests/machine.rs
+++ b/crates/shadow/tests/machine.rs
@@ -1,6 +1,7 @@
 //! Shadow traffic as a whole: what may be copied, what that costs at the most, and when it ends.
 
 use proptest::prelude::*;
+use shadow::budget::most_in_a_second;
 use shadow::sample::{Tenants, WHOLE};
 use shadow::verdict::Tolerance;
 use shadow::*;
@@ -222,13 +223,6 @@
 
 // ---- budgets ----
 
-/// The most of these times that lie in one second.
-fn most_in_a_second(mut times: Vec<Nanos>) -> usize {
-    times.sort_unstable();
-    let ends = times.iter().enumerate().map(|(i, t)| times[i..].partition_point(|u| *u < t + SECOND));
-    ends.max().unwrap_or(0)
-}
-
 #[derive(Clone, Debug)]
 enum Step {
     Read {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod world;
 
 use std::io;
-use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -31,12 +30,6 @@
     command.spawn()
 }
 
-/// A port of this address at which nobody listens.
-fn free(at: IpAddr) -> io::Result<SocketAddr> {
-    let _alone = alone();
-    TcpListener::bind((at, 0))?.local_addr()
-}
-
 /// Where a program of this workspace lies: beside the one that runs, or one folder above it for a test.
 ///
 /// # Panics
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -3,7 +3,7 @@
 use serde_json::Value;
 use std::io;
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -36,7 +36,8 @@
 /// # Errors
 /// There is none.
 pub fn free_port() -> io::Result<SocketAddr> {
-    crate::free(Ipv4Addr::LOCALHOST.into())
+    let _alone = crate::alone();
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
 }
 
 /// A running proxy. It is killed when it is dropped.
