A box whose connections are all in use here is no longer told as one that refuses

Cause: a probe that wrote one line for each refusal with its rule showed that hardly any was the valve's, which had been blamed. From 12.5 s on 10,113 of some 12,000 were `arrival` finding no server at all (`choose` gave None), with 36% of the proxy's subset under suspicion and the cold rest out of budget.

Change: such an attempt is told as not sent (Moot), in the proxy and in the model. The module says nothing of the server by it, charges a repeat elsewhere a tenth, and gives a cold server back what it was charged for it. Each test fails without its line.

--- a/crates/calicosaddle/src/brain.rs
+++ b/crates/calicosaddle/src/brain.rs
@@ -866,6 +866,8 @@
             match status {
                 Status::Full => s.limit = (LESS * s.limit.min(s.inflight)).max(1.0),
                 Status::Ok => s.limit = (s.limit + MORE).min(MOST),
+                // What was not sent took nothing of what a cold server can bear.
+                Status::Moot => s.tokens += 1.0,
                 _ => {}
             }
             let held = s.inflight.min(1.0);
@@ -964,11 +966,11 @@
             self.give_up(id, actions);
             return;
         }
-        // No connection cost nobody work, and work ends with its connection. Danger: in a release with servers
+        // What was not sent cost nobody work, nor did no connection, and work ends with its connection. Danger: in a release with servers
         // gone and the list seconds late, or where connections break at random, a spent budget refuses what
         // the next server could serve, and that passes for a jam.
-        let cost =
-            if matches!(status, Status::ConnectFailed | Status::Reset | Status::Spoilt) { 0.1 } else { 1.0 };
+        let cheap = matches!(status, Status::Moot | Status::ConnectFailed | Status::Reset | Status::Spoilt);
+        let cost = if cheap { 0.1 } else { 1.0 };
         if !self.again(now, id, cost, actions) {
             self.give_up(id, actions);
         }
--- a/crates/calicosaddle/tests/decisions.rs
+++ b/crates/calicosaddle/tests/decisions.rs
@@ -528,6 +528,46 @@
     assert!(moved * 5 < stayed, "{moved} keys moved between boxes that stayed, {stayed} did not");
 }
 
+#[test]
+fn what_was_not_sent_says_nothing_of_its_server_and_a_repeat_of_it_costs_next_to_nothing() {
+    let mut p = Proxy::with(settings(), entries(0..30));
+    p.crowd(0..200);
+    for key in 0..300u64 {
+        p.now += 5 * MS;
+        let (id, actions) = p.ask(key * 104_729);
+        let first = sent(&actions).expect("sent");
+        let actions = p.end_after(id, 0, first, Status::Moot, None, 0);
+        let second = sent(&actions).unwrap_or_else(|| panic!("request {key} is not sent again: {actions:?}"));
+        assert!(second != first && p.brain.avoided(p.now) == 0, "request {key}");
+        p.end(id, 1, second, Status::Ok, Some(true));
+    }
+}
+
+#[test]
+fn what_was_not_sent_took_nothing_of_what_a_cold_server_bears() {
+    let started = 1000 * SECOND;
+    let list: Vec<Entry> = entries(0..2).into_iter().map(|e| Entry { started, ..e }).collect();
+    let mut p = Proxy::with(settings(), list);
+    // What they bear at this moment is soon used up.
+    let mut out = 0;
+    while sent(&p.ask(out * 104_729).1).is_some() {
+        out += 1;
+        assert!(out < 50, "cold servers take {out} at once");
+    }
+    // Until one of them bears one more; that is never written, and the next may go in its place.
+    let (id, server) = (0..150)
+        .find_map(|_| {
+            p.now += 100 * MS;
+            let (id, actions) = p.ask(7);
+            Some((id, sent(&actions)?))
+        })
+        .expect("they warm up");
+    assert!(sent(&p.ask(7).1).is_none());
+    let actions = p.end_after(id, 0, server, Status::Moot, None, 0);
+    assert!(sent(&actions).is_none(), "the other bears one more as well");
+    assert_eq!(sent(&p.ask(7).1), Some(server));
+}
+
 #[test]
 fn a_cut_zone_is_left_alone_as_a_whole() {
     // Danger: finding each of its servers silent by itself costs a lost request a server.
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -1020,6 +1020,31 @@
         assert!(boxes.write(2 * MS) && boxes.all[up].pipe.is_written((1, 1)) && boxes.all[slow].depth() == 0);
     }
 
+    #[test]
+    fn an_attempt_that_finds_all_connections_in_use_is_told_as_not_sent_and_not_as_refused() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let poll = mio::Poll::new().expect("a poll");
+        let mut boxes = made(&sample(), &poll);
+        let hosts = vec![host(Entry { server: 7, ..Entry::default() }, &listener)];
+        boxes.list(&List { version: 1, whole: true, hosts }, 0);
+        (boxes.per_node, boxes.pipes) = (1, Limits::default());
+        assert!(boxes.send(7, job(&sample()), 0).is_some());
+        for attempt in 1..4 {
+            assert!(boxes.send(7, Job { attempt, ..job(&sample()) }, 0).is_none());
+            let told = boxes.news();
+            assert!(
+                matches!(told, Some(News::Ended(1, n, Status::Moot, _)) if n == attempt),
+                "{attempt}: {told:?}"
+            );
+        }
+        // Where nothing holds, and no descriptor is left to dial with, the node was not reached.
+        (boxes.per_node, boxes.limit) = (2, 0);
+        boxes.close(0);
+        while boxes.news().is_some() {}
+        assert!(boxes.send(7, job(&sample()), 0).is_none());
+        assert!(matches!(boxes.news(), Some(News::Ended(1, 0, Status::ConnectFailed, _))));
+    }
+
     #[test]
     fn connections_to_a_node_that_come_up_slowly_race_one_at_a_time() {
         let (at, _held) = testkit::scripted::full_backlog();
