One silence of a box weighs by how often this proxy sends to its own subset

Cause: `Brain::failed` takes one silence for enough where the proxy sends a server less than one request a second, and reckoned that by all listed servers (`live / rate`, 10 s here). Since subsets it sends to seven of 161, two or three times a second each. The threshold now goes by the subset; the length of a suspicion stays by all servers. Failed: both by the subset.

--- a/crates/calicosaddle/src/brain.rs
+++ b/crates/calicosaddle/src/brain.rs
@@ -522,8 +522,10 @@
 
     fn failed(&mut self, now: Nanos, server: ServerId, weight: u32) {
         let jitter = 0.75 + 0.5 * self.chance();
-        let pause = self.live / self.rate(now).max(0.01);
-        let shortest = (pause.clamp(2.0, 25.0) * SECOND as f64) as Nanos;
+        // It sends to its subset alone; the whole counts for how often all proxies together try a server again.
+        let rate = self.rate(now).max(0.01);
+        let pause = self.subset.len() as f64 / rate;
+        let shortest = ((self.live / rate).clamp(2.0, 25.0) * SECOND as f64) as Nanos;
         let Some(&i) = self.by_id.get(&server) else { return };
         let s = &mut self.servers[i as usize];
         s.fails += weight;
--- a/crates/calicosaddle/tests/decisions.rs
+++ b/crates/calicosaddle/tests/decisions.rs
@@ -528,6 +528,25 @@
     assert!(moved * 5 < stayed, "{moved} keys moved between boxes that stayed, {stayed} did not");
 }
 
+#[test]
+fn a_silence_weighs_by_how_often_this_proxy_sends_to_its_subset_and_not_by_the_whole_fleet() {
+    let mut p = Proxy::with(Settings { proxies: 300, ..settings() }, entries(0..200));
+    for key in 0..400u64 {
+        p.now += 50 * MS;
+        p.served(key * 104_729, true);
+    }
+    // Twenty requests a second to seven servers: each is asked often enough for one silence to say little.
+    let (id, actions) = p.ask(7);
+    let first = sent(&actions).expect("sent");
+    p.end_after(id, 0, first, Status::Timeout, None, 400 * MS);
+    assert_eq!(p.brain.avoided(p.now), 0);
+    // The second says enough.
+    let (id, actions) = p.ask(7);
+    assert_eq!(sent(&actions), Some(first));
+    p.end_after(id, 0, first, Status::Timeout, None, 400 * MS);
+    assert_eq!(p.brain.avoided(p.now), 1);
+}
+
 #[test]
 fn what_was_not_sent_says_nothing_of_its_server_and_a_repeat_of_it_costs_next_to_nothing() {
     let mut p = Proxy::with(settings(), entries(0..30));
