Read again: one rule for attempts without a connection; twins in tests merged

The proxy and the model each spelled out whether an attempt without a connection was not sent or failed: it is Status::unplaced now, with its reason beside it. The stand-in's send is its offer, insisted on. No behaviour changes.

--- a/crates/calicosaddle/src/api.rs
+++ b/crates/calicosaddle/src/api.rs
@@ -225,6 +225,18 @@
         !matches!(self, Status::Cancelled | Status::Moot)
     }
 
+    /// What an attempt is called for which there was no connection.
+    ///
+    /// Danger: where this proxy has connections to the server, that all of them are in use is no fault of the server's.
+    /// Told as such, the server, and with a few of them its zone, would be left alone for as long as one that is down.
+    pub fn unplaced(connected: bool) -> Status {
+        if connected {
+            Status::Moot
+        } else {
+            Status::ConnectFailed
+        }
+    }
+
     /// True if this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
         matches!(self, Status::Full | Status::ConnectFailed | Status::Moot | Status::Miss)
--- a/crates/calicosaddle/src/brain.rs
+++ b/crates/calicosaddle/src/brain.rs
@@ -968,9 +968,9 @@
             self.give_up(id, actions);
             return;
         }
-        // What was not sent cost nobody work, nor did no connection, and work ends with its connection. Danger: in a release with servers
-        // gone and the list seconds late, or where connections break at random, a spent budget refuses what
-        // the next server could serve, and that passes for a jam.
+        // What was not sent, or found no connection, cost nobody work, and work ends with its connection. Danger:
+        // in a release with servers gone and the list seconds late, or where connections break at random, a spent
+        // budget refuses what the next server could serve, and that passes for a jam.
         let cheap = matches!(status, Status::Moot | Status::ConnectFailed | Status::Reset | Status::Spoilt);
         let cost = if cheap { 0.1 } else { 1.0 };
         if !self.again(now, id, cost, actions) {
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -260,9 +260,8 @@
         let aim = crate::millis(if write { ask.write.aim_ms } else { ask.read.aim_ms });
         let job = Waiting { id, number, write, aim: until.min(now + aim) };
         let Some(key) = self.place(proxy, at, &job) else {
-            let holds = self.hosts[proxy].by_box.get(&at).is_some_and(|r| !r.connections.is_empty());
-            let status = if holds { Status::Moot } else { Status::ConnectFailed };
-            self.end_attempt(proxy, id, number, status);
+            let connected = self.hosts[proxy].by_box.get(&at).is_some_and(|r| !r.connections.is_empty());
+            self.end_attempt(proxy, id, number, Status::unplaced(connected));
             return;
         };
         self.put(key, job);
--- a/crates/proxy/src/boxes/choose.rs
+++ b/crates/proxy/src/boxes/choose.rs
@@ -17,10 +17,8 @@
             return None;
         }
         let Some((key, new)) = self.place(server, &job, now) else {
-            // Danger: that all connections of this proxy are in use is no fault of the node's. Told as such, the node,
-            // and with a few of them its zone, would be left alone for as long as one that is down.
-            let holds = self.nodes.get(&server).is_some_and(|n| !n.connections.is_empty());
-            self.end(job, if holds { Status::Moot } else { Status::ConnectFailed });
+            let connected = self.nodes.get(&server).is_some_and(|n| !n.connections.is_empty());
+            self.end(job, Status::unplaced(connected));
             return None;
         };
         self.put(key, job, now);
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -957,6 +957,14 @@
         Host { name: "s-7".into(), entry, dials: vec![Address::Tcp(address)], faults: Vec::new() }
     }
 
+    /// Before one node, 7, that this listener stands for.
+    fn before(listener: &TcpListener, poll: &mio::Poll) -> Boxes {
+        let mut boxes = made(&sample(), poll);
+        let hosts = vec![host(Entry { server: 7, ..Entry::default() }, listener)];
+        boxes.list(&List { version: 1, whole: true, hosts }, 0);
+        boxes
+    }
+
     fn job(config: &Config) -> Job {
         Job { id: 1, attempt: 0, query: query(config), aim: 9_000 * MS, until: 9_000 * MS }
     }
@@ -965,10 +973,7 @@
     fn bytes_that_nobody_asked_for_are_seen_before_a_connection_is_used_again() {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
         let poll = mio::Poll::new().expect("a poll");
-        let mut boxes = made(&sample(), &poll);
-        let entry = Entry { server: 7, ..Entry::default() };
-        let hosts = vec![host(entry, &listener)];
-        boxes.list(&List { version: 1, whole: true, hosts }, 0);
+        let mut boxes = before(&listener, &poll);
         let key = boxes.send(7, job(&sample()), 0).expect("a connection").0;
         let mut node = listener.accept().expect("accepted").0;
         (boxes.all[key].up, boxes.all[key].pipe) = (true, Pipe::default());
@@ -997,9 +1002,7 @@
     fn what_waits_for_a_slow_connection_takes_one_that_becomes_free_first() {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
         let poll = mio::Poll::new().expect("a poll");
-        let mut boxes = made(&sample(), &poll);
-        let hosts = vec![host(Entry { server: 7, ..Entry::default() }, &listener)];
-        boxes.list(&List { version: 1, whole: true, hosts }, 0);
+        let mut boxes = before(&listener, &poll);
         let (up, _) = boxes.send(7, job(&sample()), 0).expect("a connection");
         let mut node = listener.accept().expect("accepted").0;
         let begun = Instant::now();
@@ -1024,9 +1027,7 @@
     fn an_attempt_that_finds_all_connections_in_use_is_told_as_not_sent_and_not_as_refused() {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
         let poll = mio::Poll::new().expect("a poll");
-        let mut boxes = made(&sample(), &poll);
-        let hosts = vec![host(Entry { server: 7, ..Entry::default() }, &listener)];
-        boxes.list(&List { version: 1, whole: true, hosts }, 0);
+        let mut boxes = before(&listener, &poll);
         (boxes.per_node, boxes.pipes) = (1, Limits::default());
         assert!(boxes.send(7, job(&sample()), 0).is_some());
         for attempt in 1..4 {
@@ -1079,10 +1080,7 @@
         let poll = mio::Poll::new().expect("a poll");
         let config = sample();
         for withdrawn in [false, true] {
-            let mut boxes = made(&config, &poll);
-            let entry = Entry { server: 7, ..Entry::default() };
-            let hosts = vec![host(entry, &listener)];
-            boxes.list(&List { version: 1, whole: true, hosts }, 0);
+            let mut boxes = before(&listener, &poll);
             let (key, _) = boxes.send(7, job(&config), 0).expect("it waits");
             listener.accept().expect("accepted");
             if withdrawn {
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -133,7 +133,7 @@
 
     /// Writes all of it.
     pub fn send(&mut self, bytes: impl AsRef<[u8]>) {
-        self.stream.write_all(bytes.as_ref()).expect("written");
+        assert!(self.offers(bytes), "closed before it was written");
     }
 
     /// Writes all of it; false if the other end has closed by then, which it may have at any moment.
