--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -232,6 +232,9 @@
     pub breaks: u64,
     /// Commands that were written whole on such, and may have run.
     pub uncertain: u64,
+    /// Connections that ended for what came when nothing was asked.
+    #[serde(default)]
+    pub surplus: u64,
 }
 
 impl Pipelines {
@@ -243,6 +246,7 @@
         self.moved += other.moved;
         self.breaks += other.breaks;
         self.uncertain += other.uncertain;
+        self.surplus += other.surplus;
     }
 }
 
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -95,7 +95,7 @@
                     }
                 }
             }
-            Fault::Slows { .. } | Fault::Grow { .. } | Fault::Late { .. } => {
+            Fault::Slows { .. } | Fault::Grow { .. } | Fault::Late { .. } | Fault::Surplus { .. } => {
                 let kind = format!("{:?}", f.fault);
                 let kind = kind.split(' ').next().unwrap_or_default().to_lowercase();
                 problems.push(format!("faults.{number}: {kind} is played in the model alone"));
--- a/crates/model/src/boxes.rs
+++ b/crates/model/src/boxes.rs
@@ -25,6 +25,26 @@
     pub handshake: bool,
 }
 
+/// An answer, as it leaves a box.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    pub status: Status,
+    pub hit: Option<bool>,
+    /// The request that it was made for; nothing for noise.
+    pub made_for: Option<u32>,
+}
+
+/// What a box sends too much.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Surplus {
+    /// With this part of its good answers.
+    pub part: f64,
+    /// A copy; else noise that reads as an answer.
+    pub copy: bool,
+    /// In a segment of its own, so much later at the most; 0: in the same.
+    pub late: Nanos,
+}
+
 /// Work that goes on.
 #[derive(Debug)]
 pub struct CacheBox {
@@ -55,6 +75,7 @@
     pub draining: bool,
     pub resets: f64,
     pub spoils: f64,
+    pub surplus: Surplus,
     /// Its work takes ever longer: from when, until when, up to how many times.
     pub slows: Option<(Nanos, Nanos, f64)>,
     /// What came while it was silent.
@@ -94,6 +115,7 @@
             draining: false,
             resets: 0.0,
             spoils: 0.0,
+            surplus: Surplus::default(),
             slows: None,
             held: Vec::new(),
             cache: LruCache::new(NonZeroUsize::new(told.cache).unwrap_or(NonZeroUsize::MIN)),
@@ -194,6 +216,16 @@
         }
     }
 
+    /// What a good answer brings beside itself, and how much later.
+    pub fn too_much(&self, answer: Answer, chance: &mut Chance) -> Option<(Answer, Nanos)> {
+        let Surplus { part, copy, late } = self.surplus;
+        if answer.status != Status::Ok || !chance.happens(part) {
+            return None;
+        }
+        let after = (late as f64 * chance.unit()) as Nanos;
+        Some((if copy { answer } else { Answer { made_for: None, ..answer } }, after))
+    }
+
     /// How long something that came now would take, if it would be served.
     pub fn wait(&self, now: Nanos) -> Option<Nanos> {
         if self.down || self.fallen || self.silent > 0 || self.draining || !self.has_room() {
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -1,12 +1,13 @@
 //! A proxy round its decision module, with the limits of the real one: a table of open requests, connections with
 //! streams, timers. What it does with actions follows `crates/proxy`, in the same order.
 
+use crate::boxes::Answer;
 use crate::judge::Rule;
 use crate::policy::{Policy, Truth};
 use crate::sim::{End, Ev, Sim};
 use crate::{Nanos, MS};
 use calicosaddle::api::*;
-use pipeline::{Ask, Called, Command, Fate, Lane, Pipe, Place, Seen as Connected, Times};
+use pipeline::{Ask, Called, Command, Fate, Lane, Pipe, Place, Rest, Seen as Connected, Times};
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
@@ -78,9 +79,12 @@
     pipe: Pipe<Waiting>,
     begun: Nanos,
     moved: Nanos,
+    /// When the last answer came on it, and from when on it may carry the next request.
+    answered: Nanos,
+    ready: Nanos,
     next: u64,
     /// Answers at the box, in the order of the requests, from this number on.
-    pub answers: VecDeque<Option<(Status, Option<bool>)>>,
+    pub answers: VecDeque<Option<Answer>>,
     pub base: u64,
 }
 
@@ -104,6 +108,8 @@
     by_box: FxHashMap<u32, Reached>,
     /// What all boxes were measured to take.
     times: Times,
+    /// How long its connections rest, as it has learned.
+    rest: Rest,
     pub connections: usize,
     pub known: Vec<Known>,
     /// Boxes whose drain it was told of, and when.
@@ -112,7 +118,7 @@
 }
 
 impl Host {
-    pub fn new(zone: usize) -> Self {
+    pub fn new(zone: usize, rest: Rest) -> Self {
         Host {
             zone,
             alive: true,
@@ -122,6 +128,7 @@
             open: FxHashMap::default(),
             by_box: FxHashMap::default(),
             times: Times::NONE,
+            rest,
             connections: 0,
             known: Vec::new(),
             told_drain: FxHashMap::default(),
@@ -130,7 +137,7 @@
     }
 
     /// All that its process held is gone; what clients wait for.
-    pub fn dies(&mut self) -> (Vec<Open>, Vec<usize>) {
+    pub fn dies(&mut self, rest: Rest) -> (Vec<Open>, Vec<usize>) {
         self.alive = false;
         self.life += 1;
         self.subscribed = false;
@@ -138,7 +145,7 @@
         self.events.clear();
         self.connections = 0;
         self.told_drain.clear();
-        self.times = Times::NONE;
+        (self.times, self.rest) = (Times::NONE, rest);
         let mut open: Vec<(u64, Open)> = self.open.drain().collect();
         open.sort_unstable_by_key(|(id, _)| *id);
         let mut connections: Vec<usize> = self.by_box.drain().flat_map(|(_, r)| r.connections).collect();
@@ -258,13 +265,31 @@
         let write = self.requests[request as usize].write;
         let ask = &self.scenario.traffic;
         let aim = crate::millis(if write { ask.write.aim_ms } else { ask.read.aim_ms });
-        let job = Waiting { id, number, write, aim: until.min(now + aim) };
-        let Some(key) = self.place(proxy, at, &job) else {
-            let connected = self.hosts[proxy].by_box.get(&at).is_some_and(|r| !r.connections.is_empty());
-            self.end_attempt(proxy, id, number, Status::unplaced(connected));
-            return;
-        };
-        self.put(key, job);
+        self.go_by_some(proxy, at, Waiting { id, number, write, aim: until.min(now + aim) });
+    }
+
+    /// Puts an attempt on the connection that it is to take, or ends it.
+    fn go_by_some(&mut self, proxy: usize, at: u32, job: Waiting) {
+        match self.place(proxy, at, &job) {
+            Some(key) => self.put(key, job),
+            None => {
+                let connected = self.hosts[proxy].by_box.get(&at).is_some_and(|r| !r.connections.is_empty());
+                self.end_attempt(proxy, job.id, job.number, Status::unplaced(connected));
+            }
+        }
+    }
+
+    /// Closes a connection; what waits on it, of which nothing is written, goes by another.
+    fn close_and_go_on(&mut self, key: usize) {
+        let Some(c) = &mut self.connections[key] else { return };
+        let (proxy, at, jobs) = (c.proxy, c.to, c.pipe.strand());
+        self.close(key);
+        for job in jobs {
+            let out = self.hosts[proxy].open.get_mut(&job.id);
+            let out = out.and_then(|o| o.out.iter_mut().find(|a| a.number == job.number));
+            out.into_iter().for_each(|out| out.connection = None);
+            self.go_by_some(proxy, at, job);
+        }
     }
 
     /// Puts an attempt on a connection.
@@ -276,7 +301,10 @@
             out.connection = Some(key);
         }
         c.pipe.push(job);
-        if c.up {
+        let (serial, ready) = (c.serial, c.ready);
+        if c.up && ready > self.now {
+            self.at(ready, Ev::Rested { connection: key, serial });
+        } else if c.up {
             self.flush(key);
         }
     }
@@ -304,6 +332,7 @@
                 key: *key,
                 up: c.up,
                 since: if c.up { c.moved } else { c.begun },
+                ready: c.ready,
                 depth: c.pipe.depth(),
                 head_age: c.pipe.head_age(self.now),
                 history: c.pipe.history(),
@@ -350,6 +379,8 @@
             pipe: Pipe::default(),
             begun: now,
             moved: now,
+            answered: 0,
+            ready: 0,
             next: 0,
             answers: VecDeque::new(),
             base: 0,
@@ -387,7 +418,7 @@
 
     /// Writes what waits, each attempt checked when its turn comes.
     pub(crate) fn flush(&mut self, key: usize) {
-        while let Some(c) = &mut self.connections[key] {
+        while let Some(c) = self.connections[key].as_mut().filter(|c| c.ready <= self.now) {
             let Some(job) = c.pipe.take() else { return };
             let (id, attempt) = job.tag();
             let (proxy, to, serial, seq) = (c.proxy, c.to, c.serial, c.next);
@@ -509,14 +540,34 @@
         self.flush(key);
     }
 
-    /// An answer has come by a connection.
-    pub(crate) fn replied(&mut self, key: usize, status: Status, hit: Option<bool>) {
+    /// An answer has come by a connection, or two in one segment.
+    pub(crate) fn replied(&mut self, key: usize, answer: Answer, more: Option<Answer>) {
+        let Answer { status, hit, made_for } = answer;
         let Some(c) = &mut self.connections[key] else { return };
-        let proxy = c.proxy;
+        let (proxy, serial) = (c.proxy, c.serial);
         c.moved = self.now;
-        let Some(answered) = c.pipe.answered(self.now) else { return };
+        let Some(answered) = c.pipe.answered(self.now) else {
+            // Nobody asked for it.
+            self.hosts[proxy].rest.surplus(self.now - c.answered);
+            self.close_and_go_on(key);
+            self.decide(proxy);
+            return;
+        };
         let to = c.to;
         let host = &mut self.hosts[proxy];
+        (c.answered, c.ready) = (self.now, self.now);
+        if c.pipe.depth() == 0 {
+            c.ready += host.rest.span();
+        }
+        // What comes with an answer is read with it, before anything is written.
+        let more = match more {
+            Some(_) if c.pipe.head().is_none() => {
+                self.close_and_go_on(key);
+                None
+            }
+            more => more,
+        };
+        let host = &mut self.hosts[proxy];
         if let Some(reached) = host.by_box.get_mut(&to) {
             for times in [&mut *reached.times, &mut host.times] {
                 times.answered(answered.lane, answered.behind, answered.took, answered.as_head);
@@ -533,10 +584,16 @@
         self.relieve(key);
         let Some((id, attempt)) = answered.tag else {
             self.wasted += 1;
+            self.and_more(key, serial, more);
             return;
         };
         let served = self.hosts[proxy].open.get(&id).filter(|o| !o.answered && status == Status::Ok);
         let read = served.map(|o| o.key).zip(hit);
+        if let Some(request) = served.map(|o| o.request).filter(|r| made_for != Some(*r)) {
+            self.breaches.add(Rule::Strange, self.now, Some(request), || {
+                format!("by proxy {proxy} from box {to}: made for {made_for:?}")
+            });
+        }
         if status == Status::Ok {
             self.answer(proxy, id, End::Served);
         }
@@ -545,6 +602,15 @@
         if let Some((key, hit)) = read.filter(|_| self.copies.is_some()) {
             self.copy(proxy, key, hit, (!answered.behind).then_some(answered.took));
         }
+        self.and_more(key, serial, more);
+    }
+
+    /// What stands behind an answer goes to the next in line, if the connection is still there.
+    fn and_more(&mut self, key: usize, serial: u64, more: Option<Answer>) {
+        let same = |c: &Connection| c.serial == serial;
+        if let Some(more) = more.filter(|_| self.connections[key].as_ref().is_some_and(same)) {
+            self.replied(key, more, None);
+        }
     }
 
     // ---- answers ----
--- a/crates/model/src/judge.rs
+++ b/crates/model/src/judge.rs
@@ -10,6 +10,8 @@
     Lost,
     /// ... and nothing is sent for it afterwards.
     SentAfterAnswer,
+    /// An answer was made for its request.
+    Strange,
     /// No effect happens twice.
     Doubled,
     /// Nothing new goes to a box later than its grace after this proxy learned of its drain.
@@ -26,6 +28,7 @@
         match self {
             Rule::Lost => "each accepted request has one final answer in time",
             Rule::SentAfterAnswer => "nothing is sent for a request after its answer",
+            Rule::Strange => "each answer was made for the request that gets it",
             Rule::Doubled => "no effect happens twice",
             Rule::Drain => "nothing new to a draining box 500 ms after the proxy learned",
             Rule::ColdBox => "no cold box is pushed over",
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -3,7 +3,7 @@
 use crate::chance::Chance;
 use crate::{millis, seconds, Nanos};
 use calicosaddle::api::{Class, Effect, Group, Settings};
-use pipeline::{Limits, Placing};
+use pipeline::{Limits, Placing, Rest};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -110,8 +110,12 @@
     pub box_connections: usize,
     /// The same for one proxy.
     pub most_connections: usize,
-    /// Requests on a connection at once.
+    /// Requests on a connection at once, as far as boxes take them, ...
     pub streams: usize,
+    /// ... and as far as a proxy sends them.
+    pub depth: usize,
+    /// How long a connection rests after an answer at first, where one at a time goes out.
+    pub rest_ms: f64,
     /// How a proxy chooses among its connections to a box.
     pub placing: Placing,
     /// A connection whose head is older than this part of its heads were takes nothing new; 1: whatever its age.
@@ -140,6 +144,8 @@
             box_connections: 24,
             most_connections: 8,
             streams: 8,
+            depth: 1,
+            rest_ms: 5.0,
             placing: Placing::Fixed,
             head_quantile: 1.0,
             idle_s: 5.0,
@@ -154,7 +160,9 @@
     /// What a proxy may do with its connections to a box.
     pub fn pipes(&self) -> Limits {
         let (placing, head_quantile) = (self.placing, self.head_quantile);
-        Limits { placing, depth: [self.streams; 2], head_quantile, ..Limits::default() }
+        let depth = self.depth.min(self.streams);
+        let rest = if depth > 1 { Rest::NONE } else { Rest::new(Some(millis(self.rest_ms))) };
+        Limits { placing, depth: [depth; 2], head_quantile, rest, ..Limits::default() }
     }
 }
 
@@ -292,6 +300,9 @@
     pub tries: u32,
     /// A client waits before its next try so long at the least, and up to twice of it.
     pub backoff_ms: f64,
+    /// Proxies get unlike parts of what is asked: each one's weight is drawn between 1 and this, small ones being the more
+    /// frequent; 1: all alike.
+    pub uneven: f64,
     /// The front layer learns of a dead proxy, or of one that is back, so late.
     pub front_lag_ms: f64,
     /// Reads.
@@ -317,6 +328,7 @@
             zipf: 0.8,
             tries: 3,
             backoff_ms: 50.0,
+            uneven: 1.0,
             front_lag_ms: 500.0,
             read: Ask::default(),
             write: Ask { aim_ms: 500.0, wait_ms: 700.0, deadline_ms: 1_000.0, worth: 5.0 },
@@ -443,6 +455,19 @@
         /// The part.
         part: f64,
     },
+    /// A part of their good answers bring more than belongs to them, if nothing else waits there on the connection.
+    Surplus {
+        /// Which.
+        boxes: Which,
+        /// The part.
+        part: f64,
+        /// A copy; else noise that reads as an answer.
+        #[serde(default = "yes")]
+        copy: bool,
+        /// In a segment of its own, up to so much later; 0: in one segment with the answer.
+        #[serde(default)]
+        late_ms: f64,
+    },
     /// Their work takes ever longer, up to so many times at the end.
     Slows {
         /// Which.
@@ -486,6 +511,10 @@
     OriginStops,
 }
 
+fn yes() -> bool {
+    true
+}
+
 /// What must hold beyond the four rules; nothing: whatever comes.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
@@ -585,6 +614,8 @@
         c.whole("topology.box_connections", t.box_connections, 1, 10_000);
         c.whole("topology.most_connections", t.most_connections, 1, 1_000);
         c.whole("topology.streams", t.streams, 1, 1_024);
+        c.whole("topology.depth", t.depth, 1, 1_024);
+        c.float("topology.rest_ms", t.rest_ms, 0.0, 50.0);
         c.float("topology.head_quantile", t.head_quantile, 0.5, 1.0);
         c.float("topology.idle_s", t.idle_s, 0.01, LONGEST_S);
         c.float("topology.connect_timeout_ms", t.connect_timeout_ms, 1.0, 60_000.0);
@@ -644,6 +675,7 @@
         c.float("traffic.zipf", a.zipf, 0.0, 5.0);
         c.whole("traffic.tries", a.tries as usize, 1, 100);
         c.float("traffic.backoff_ms", a.backoff_ms, 0.0, 60_000.0);
+        c.float("traffic.uneven", a.uneven, 1.0, 1_000.0);
         c.float("traffic.front_lag_ms", a.front_lag_ms, 0.0, 3_600_000.0);
         for (name, ask) in [("read", &a.read), ("write", &a.write)] {
             let at = |key: &str| format!("traffic.{name}.{key}");
@@ -696,6 +728,11 @@
                 which("boxes", boxes, self.topology.boxes);
                 c.float(&at("part"), *part, 0.0, 1.0);
             }
+            Fault::Surplus { boxes, part, late_ms, .. } => {
+                which("boxes", boxes, self.topology.boxes);
+                c.float(&at("part"), *part, 0.0, 1.0);
+                c.float(&at("late_ms"), *late_ms, 0.0, 1_000.0);
+            }
             Fault::Slows { boxes, times } => {
                 which("boxes", boxes, self.topology.boxes);
                 c.float(&at("times"), *times, 1.0, 1e6);
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -1,7 +1,7 @@
 //! The loop of events in virtual time, with clients, front layer, boxes, origin and faults. Proxies are in `host`.
 
 use crate::arrivals::{Arrival, Arrivals};
-use crate::boxes::{CacheBox, Job};
+use crate::boxes::{Answer, CacheBox, Job, Surplus};
 use crate::chance::Chance;
 use crate::copies::{Copies, Step, CANDIDATE};
 use crate::discovery::Discovery;
@@ -115,22 +115,88 @@
 pub(crate) enum Ev {
     Request(Arrival),
     Try(u32),
-    Reach { request: u32, number: u32, proxy: usize, wait: Nanos, doors: u32 },
-    Told { request: u32, number: u32, end: End },
-    GiveUp { request: u32, number: u32 },
-    Module { proxy: usize, life: u32, token: u64 },
-    Deadline { proxy: usize, life: u32, id: u64 },
-    Attempt { proxy: usize, life: u32, id: u64, attempt: u32 },
-    Connect { connection: usize, serial: u64 },
-    Knock { connection: usize, serial: u64 },
-    Up { connection: usize, serial: u64, crowded: bool },
-    Lost { connection: usize, serial: u64 },
-    Left { to: u32, life: u32 },
-    AtBox { job: u32 },
-    Worked { to: u32, life: u32, job: u32 },
-    Ledger { to: u32, job: u32 },
-    Reply { connection: usize, serial: u64, status: Status, hit: Option<bool> },
-    List { proxy: usize, life: u32, kind: ListKind, entries: Rc<Vec<(u32, Entry)>> },
+    Reach {
+        request: u32,
+        number: u32,
+        proxy: usize,
+        wait: Nanos,
+        doors: u32,
+    },
+    Told {
+        request: u32,
+        number: u32,
+        end: End,
+    },
+    GiveUp {
+        request: u32,
+        number: u32,
+    },
+    Module {
+        proxy: usize,
+        life: u32,
+        token: u64,
+    },
+    Deadline {
+        proxy: usize,
+        life: u32,
+        id: u64,
+    },
+    Attempt {
+        proxy: usize,
+        life: u32,
+        id: u64,
+        attempt: u32,
+    },
+    Connect {
+        connection: usize,
+        serial: u64,
+    },
+    Knock {
+        connection: usize,
+        serial: u64,
+    },
+    Up {
+        connection: usize,
+        serial: u64,
+        crowded: bool,
+    },
+    Lost {
+        connection: usize,
+        serial: u64,
+    },
+    Left {
+        to: u32,
+        life: u32,
+    },
+    AtBox {
+        job: u32,
+    },
+    Worked {
+        to: u32,
+        life: u32,
+        job: u32,
+    },
+    Ledger {
+        to: u32,
+        job: u32,
+    },
+    /// An answer, and what comes in one segment with it.
+    Reply {
+        connection: usize,
+        serial: u64,
+        answer: Answer,
+        more: Option<Answer>,
+    },
+    Rested {
+        connection: usize,
+        serial: u64,
+    },
+    List {
+        proxy: usize,
+        life: u32,
+        kind: ListKind,
+        entries: Rc<Vec<(u32, Entry)>>,
+    },
     Publish(Rc<Vec<(u32, Entry)>>),
     Do(Op),
     Copy(Step),
@@ -145,6 +211,7 @@
     Up(u32),
     Resets(u32, f64),
     Spoils(u32, f64),
+    Surplus(u32, Surplus),
     Slows(u32, Option<(Nanos, Nanos, f64)>),
     Drain(u32, bool),
     Refuses(u32),
@@ -200,6 +267,8 @@
     free_jobs: Vec<u32>,
     pub requests: Vec<Asked>,
     front: Vec<bool>,
+    /// The sums of the proxies' weights up to each; none where all are alike.
+    weights: Vec<f64>,
     discovery: Discovery,
     pub origin: Origin,
     /// Copies of reads to candidates, where there are any.
@@ -221,6 +290,20 @@
     history: Vec<String>,
 }
 
+/// Weights between 1 and `uneven`, log-uniform.
+fn weights(scenario: &Scenario, seed: u64) -> Vec<f64> {
+    let (uneven, mut chance, mut sum) = (scenario.traffic.uneven, Chance::new(seed, 5), 0.0);
+    let mut next = |_| {
+        sum += uneven.powf(chance.unit());
+        sum
+    };
+    if uneven > 1.0 {
+        (0..scenario.topology.proxies).map(&mut next).collect()
+    } else {
+        Vec::new()
+    }
+}
+
 impl<'a> Sim<'a> {
     fn new(
         scenario: &'a Scenario,
@@ -239,7 +322,7 @@
             heap: BinaryHeap::new(),
             stalled: Vec::new(),
             cut: vec![0; t.zones],
-            hosts: (0..t.proxies).map(|i| Host::new(i % t.zones)).collect(),
+            hosts: (0..t.proxies).map(|i| Host::new(i % t.zones, t.pipes().rest)).collect(),
             boxes: Vec::new(),
             joined: Vec::new(),
             by_server: FxHashMap::default(),
@@ -251,6 +334,7 @@
             free_jobs: Vec::new(),
             requests: Vec::new(),
             front: vec![true; t.proxies],
+            weights: weights(scenario, seed),
             discovery: Discovery::new(&scenario.discovery),
             origin: Origin::new(&scenario.origin),
             copies: Copies::new(&scenario.shadow, t.proxies),
@@ -436,6 +520,12 @@
                     both(self, Op::Spoils(b, *part), Some(Op::Spoils(b, 0.0)));
                 }
             }
+            Fault::Surplus { boxes: w, part, copy, late_ms } => {
+                let surplus = Surplus { part: *part, copy: *copy, late: millis(*late_ms) };
+                for b in self.which(number, w, boxes) {
+                    both(self, Op::Surplus(b, surplus), Some(Op::Surplus(b, Surplus::default())));
+                }
+            }
             Fault::Slows { boxes: w, times } => {
                 for b in self.which(number, w, boxes) {
                     let span = (from, until.unwrap_or(from), *times);
@@ -501,6 +591,7 @@
             }
             Op::Resets(b, part) => self.boxes[b as usize].resets = part,
             Op::Spoils(b, part) => self.boxes[b as usize].spoils = part,
+            Op::Surplus(b, surplus) => self.boxes[b as usize].surplus = surplus,
             Op::Slows(b, span) => self.boxes[b as usize].slows = span,
             Op::Drain(b, on) => {
                 self.listed(&[b], if on { State::Draining } else { State::Ready });
@@ -536,7 +627,7 @@
                 if !self.hosts[proxy].alive {
                     return;
                 }
-                let (open, connections) = self.hosts[proxy].dies();
+                let (open, connections) = self.hosts[proxy].dies(self.pipes.rest);
                 for key in connections {
                     self.unplug(key);
                 }
@@ -695,15 +786,21 @@
         self.knock(request, number, wait, 0);
     }
 
+    /// A proxy by chance, as their weights have it.
+    fn pick(&mut self) -> usize {
+        let Some(whole) = self.weights.last().copied() else { return self.clients.below(self.front.len()) };
+        let drawn = whole * self.clients.unit();
+        self.weights.partition_point(|w| *w <= drawn).min(self.front.len() - 1)
+    }
+
     /// A client's connection goes to one of the proxies that the front believes to be there.
     fn knock(&mut self, request: u32, number: u32, wait: Nanos, doors: u32) {
-        let n = self.front.len();
-        let mut picked = self.clients.below(n);
+        let mut picked = self.pick();
         for _ in 0..16 {
             if self.front[picked] {
                 break;
             }
-            picked = self.clients.below(n);
+            picked = self.pick();
         }
         if !self.front[picked] || doors >= DOORS {
             self.tell(request, number, usize::MAX, End::Nowhere);
@@ -917,7 +1014,7 @@
 
     /// A box has an answer; it leaves in the order of its connection's requests.
     fn reply(&mut self, at: u32, status: Status, hit: Option<bool>) {
-        let Some((job, _)) = self.drop_job(at) else { return };
+        let Some((job, request)) = self.drop_job(at) else { return };
         let Some(c) = self.connections[job.connection].as_mut().filter(|c| c.serial == job.serial) else {
             self.wasted += u64::from(status == Status::Ok);
             return;
@@ -935,7 +1032,7 @@
         }
         let place = (job.place - c.base) as usize;
         if let Some(answer) = c.answers.get_mut(place) {
-            *answer = Some((status, hit));
+            *answer = Some(Answer { status, hit, made_for: Some(request) });
         }
         let mut ready = Vec::new();
         while let Some(Some(answer)) = c.answers.front().copied() {
@@ -943,8 +1040,16 @@
             c.base += 1;
             ready.push(answer);
         }
-        for (status, hit) in ready {
-            self.at(self.now + way, Ev::Reply { connection: job.connection, serial, status, hit });
+        let (connection, alone) = (job.connection, c.answers.is_empty());
+        let last = ready.len().saturating_sub(1);
+        for (i, answer) in ready.into_iter().enumerate() {
+            let alone = alone && i == last;
+            let more = if alone { self.boxes[to as usize].too_much(answer, &mut self.work) } else { None };
+            let with = more.filter(|(_, late)| *late == 0).map(|(more, _)| more);
+            self.at(self.now + way, Ev::Reply { connection, serial, answer, more: with });
+            if let Some((answer, late)) = more.filter(|(_, late)| *late > 0) {
+                self.at(self.now + way + late, Ev::Reply { connection, serial, answer, more: None });
+            }
         }
     }
 
@@ -1059,17 +1164,22 @@
             Ev::AtBox { job } => self.at_box(job),
             Ev::Worked { to, life, job } => self.worked(to, life, job),
             Ev::Ledger { to, job } => self.ledger(to, job),
-            Ev::Reply { connection, serial, status, hit } if is(self, connection, serial) => {
+            Ev::Reply { connection, serial, answer, more } if is(self, connection, serial) => {
                 let Some((proxy, to)) = self.connections[connection].as_ref().map(|c| (c.proxy, c.to)) else {
                     return;
                 };
                 if self.is_cut(proxy, to) {
-                    self.stalled.push(Ev::Reply { connection, serial, status, hit });
+                    self.stalled.push(Ev::Reply { connection, serial, answer, more });
                     return;
                 }
-                self.replied(connection, status, hit);
+                self.replied(connection, answer, more);
+            }
+            Ev::Reply { answer, .. } => self.wasted += u64::from(answer.status == Status::Ok),
+            Ev::Rested { connection, serial } if is(self, connection, serial) => {
+                let proxy = self.connections[connection].as_ref().map(|c| c.proxy);
+                self.flush(connection);
+                proxy.into_iter().for_each(|proxy| self.decide(proxy));
             }
-            Ev::Reply { status, .. } => self.wasted += u64::from(status == Status::Ok),
             Ev::List { proxy, life, kind, entries } if lives(self, proxy, life) => {
                 self.hear(proxy, kind, &entries);
             }
--- a/crates/model/tests/runs.rs
+++ b/crates/model/tests/runs.rs
@@ -138,7 +138,8 @@
     let slow = "[[kinds]]\nname = 'slow'\nwrite_ms = 400.0\ncores = 64\n[traffic]\nrate = 50\nwrites = 1.0\n\
         [traffic.write]\naim_ms = 4000\nwait_ms = 4000\ndeadline_ms = 4000";
     let drain = "[[faults]]\nat_s = 3\nkind = 'drain'\nboxes = 0.5";
-    let grow = "[[kinds]]\nname = 'cold'\ncold_from = 0.1\n[[faults]]\nat_s = 3\nkind = 'grow'\ntimes = 1.2";
+    // One at a time over so few connections, not even a flood pushes a box over.
+    let grow = "[topology]\ndepth = 8\n[[kinds]]\nname = 'cold'\ncold_from = 0.1\n[[faults]]\nat_s = 3\nkind = 'grow'\ntimes = 1.2";
     for (text, how, rule) in [
         (slow, How::RepeatsWrites, Rule::Doubled),
         (drain, How::IgnoresDrains, Rule::Drain),
@@ -271,3 +272,36 @@
         assert!([&off, &on, &free].iter().all(|s| s.breaches.is_empty()), "seed {seed}");
     }
 }
+
+#[test]
+fn what_boxes_send_too_much_goes_to_nobody_one_at_a_time_and_to_others_behind_one_another() {
+    let surplus = |topology: &str, late: u32, copy: bool| {
+        let text = format!(
+            "[topology]\nproxies = 24\n{topology}\n[traffic]\nrate = 1200\n[[faults]]\nat_s = 0\nkind = 'surplus'\n\
+             boxes = 1.0\npart = 0.05\nlate_ms = {late}\ncopy = {copy}"
+        );
+        let s = play(&scenario(&text), "shipped", 11);
+        assert!(s.asked > 10_000);
+        let strange = s.breaches.iter().find(|b| b.rule == Rule::Strange);
+        strange.map_or((0, s.share()), |b| (b.times, s.share()))
+    };
+    for (late, copy) in [(0, true), (0, false), (4, true), (4, false)] {
+        let (strange, share) = surplus("", late, copy);
+        assert!(strange == 0 && share > 0.95, "to {late} ms late, copies {copy}: {strange}, in time {share}");
+    }
+    // The judge sees it where nothing guards against it.
+    assert!(surplus("rest_ms = 0.0", 4, true).0 > 0);
+    assert!(surplus("depth = 8", 4, true).0 > 0);
+}
+
+#[test]
+fn where_seven_in_ten_of_300_start_within_a_second_discovery_is_asked_no_faster_than_it_can_tell() {
+    let text =
+        "[topology]\nproxies = 300\nboxes = 60\n[discovery]\ncalls_a_second = 40\n[traffic]\nrate = 1500\n\
+        [[faults]]\nat_s = 3\nlasts_s = 1.0\nkind = 'die'\nproxies = 0.7\n\
+        [[faults]]\nat_s = 6\nkind = 'drain'\nboxes = [0, 1, 2, 3, 4, 5]";
+    for seed in [3, 4] {
+        let s = play(&scenario(text), "shipped", seed);
+        assert!(s.breaches.is_empty() && s.share() > 0.9, "seed {seed}: {}: {:?}", s.share(), s.breaches);
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -94,6 +94,10 @@
     /// `head_quantile`: a connection whose first command has waited longer than this part of the first ones there did
     /// takes nothing new; 0.5 to 1. 1, the default: whatever its age.
     pub head_quantile: f64,
+    /// `rest_ms`: a connection to a box carries nothing new for so many milliseconds after an answer, and ends if
+    /// anything comes meanwhile; 0 to 50. By default 5 where one command at a time goes out, 0 where more do. 0: no rest. Else
+    /// it grows by itself, up to 50, where something came later.
+    pub rest_ms: Option<u64>,
     /// `apart`: reads, writes and long writes don't share a connection. False by default.
     pub apart: bool,
     /// `batch_bytes`: commands that are ready together leave in one write of about so many bytes; 1 to 1,048,576,
@@ -116,6 +120,7 @@
             expected: false,
             handshake_cost: 2.0,
             head_quantile: 1.0,
+            rest_ms: None,
             apart: false,
             batch_bytes: 64 << 10,
             batch_delay_us: 0,
@@ -461,6 +466,7 @@
         }
         let cost = s.number("handshake_cost", 0.0..=100.0, errors);
         let quantile = s.number("head_quantile", 0.5..=1.0, errors);
+        let rest = s.integer("rest_ms", 0..=50, errors);
         let apart = s.boolean("apart", errors).unwrap_or(default.apart);
         let bytes = s.integer("batch_bytes", 1..=1 << 20, errors);
         let delay = s.integer("batch_delay_us", 0..=5_000, errors);
@@ -473,6 +479,7 @@
             expected: placing.as_deref() == Some("expected"),
             handshake_cost: cost.unwrap_or(default.handshake_cost),
             head_quantile: quantile.unwrap_or(default.head_quantile),
+            rest_ms: rest.map(|n| n as u64),
             apart,
             batch_bytes: bytes.map_or(default.batch_bytes, |n| n as usize),
             batch_delay_us: delay.map_or(default.batch_delay_us, |n| n as u64),
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -22,7 +22,7 @@
             && operator.boxes.user.is_some()
             && operator.boxes.password_file.is_some()
     );
-    let pipeline = Pipeline { reads: Some(8), writes: Some(8), ..Pipeline::default() };
+    let pipeline = Pipeline { reads: Some(8), writes: Some(8), rest_ms: Some(5), ..Pipeline::default() };
     assert_eq!(operator.pipeline, pipeline);
     let users: Vec<_> = operator.clients.users.iter().map(|u| (&u.name[..], u.password.is_some())).collect();
     assert_eq!(users, [("kiosk", true), ("default", false)]);
@@ -76,7 +76,7 @@
 #[test]
 fn bounds_of_pipelines_are_checked() {
     let text = "version = 1\n[pipeline]\nreads = 0\nwrites = 1025\nplacing = \"best\"\nhead_quantile = 0.4\n\
-        handshake_cost = \"much\"\nbatch_bytes = 0\nbatch_delay_us = 5001\nclients = -1\nenabled = 1\ndepth = 4";
+        handshake_cost = \"much\"\nbatch_bytes = 0\nbatch_delay_us = 5001\nclients = -1\nenabled = 1\ndepth = 4\nrest_ms = 51";
     assert_eq!(
         faults(text),
         [
@@ -86,11 +86,12 @@
             "pipeline.placing: is \"best\"; \"fixed\" or \"expected\" is allowed",
             "pipeline.handshake_cost: is a string; a number is wanted",
             "pipeline.head_quantile: is 0.4; 0.5 to 1 is allowed",
+            "pipeline.rest_ms: is 51; 0 to 50 is allowed",
             "pipeline.batch_bytes: is 0; 1 to 1048576 is allowed",
             "pipeline.batch_delay_us: is 5001; 0 to 5000 is allowed",
             "pipeline.clients: is -1; 1 to 1024 is allowed",
             "pipeline.depth: is unknown; known here: enabled, reads, writes, placing, handshake_cost, \
-             head_quantile, apart, batch_bytes, batch_delay_us, clients",
+             head_quantile, rest_ms, apart, batch_bytes, batch_delay_us, clients",
         ]
     );
     let told = Operator::parse("version = 1\n[pipeline]\nplacing = \"expected\"\nhead_quantile = 1", "n0");
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod pipe;
 mod place;
+mod rest;
 mod room;
 mod times;
 
 pub use pipe::{Answered, Called, Command, Fate, Lane, Pipe};
 pub use place::{is_stalled, place, Ask, Known, Limits, Place, Placing, Seen};
+pub use rest::Rest;
 pub use room::Room;
 pub use times::{History, Times};
 
--- a/crates/pipeline/src/place.rs
+++ b/crates/pipeline/src/place.rs
@@ -1,7 +1,8 @@
 //! Where one more command goes among the connections to its box.
 
-use crate::{History, Lane, Nanos, Times};
+use crate::{History, Lane, Nanos, Rest, Times};
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 
 /// How connections are chosen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
@@ -28,6 +29,8 @@
     pub head_quantile: f64,
     /// The time to connect counts so many times more, for what the handshake costs the box.
     pub handshake_cost: f64,
+    /// How long a connection rests after an answer.
+    pub rest: Rest,
 }
 
 impl Default for Limits {
@@ -38,6 +41,7 @@
             apart: false,
             head_quantile: 1.0,
             handshake_cost: 2.0,
+            rest: Rest::NONE,
         }
     }
 }
@@ -51,6 +55,8 @@
     pub up: bool,
     /// Since when it is being connected, or when it last carried anything.
     pub since: Nanos,
+    /// It may be written to from then on: its rest after the last answer is over.
+    pub ready: Nanos,
     /// Commands on it.
     pub depth: usize,
     /// For how long its head has been the head; nothing if nothing is written on it.
@@ -157,8 +163,10 @@
     limits: &Limits,
     now: Nanos,
 ) -> Place<K> {
-    // Those too many grow old and close.
-    if let Some(idle) = all.clone().filter(Seen::idle).max_by_key(|s| s.since) {
+    // Those too many grow old and close. What has to wait for the end of a rest waits less than a handshake takes, and
+    // costs the box nothing.
+    let idle = all.clone().filter(Seen::idle);
+    if let Some(idle) = idle.max_by_key(|s| (Reverse(s.ready.max(now)), s.since)) {
         return Place::Idle(idle.key);
     }
     let depth = limits.depth[usize::from(ask.lane.write)];
--- a/crates/pipeline/tests/place.rs
+++ b/crates/pipeline/tests/place.rs
@@ -22,7 +22,16 @@
 }
 
 fn busy(key: u32, depth: usize, head_ms: u64, history: &History) -> Seen<'_, u32> {
-    Seen { key, up: true, since: NOW, depth, head_age: Some(head_ms * MS), history, same_lane: true }
+    Seen {
+        key,
+        up: true,
+        since: NOW,
+        ready: 0,
+        depth,
+        head_age: Some(head_ms * MS),
+        history,
+        same_lane: true,
+    }
 }
 
 fn asked(room: bool) -> Ask {
--- a/crates/proxy/src/boxes/choose.rs
+++ b/crates/proxy/src/boxes/choose.rs
@@ -29,8 +29,11 @@
     fn put(&mut self, key: usize, job: Job, now: Nanos) {
         let c = &mut self.all[key];
         c.pipe.push(job);
-        if c.up && !c.dirty {
-            c.dirty = true;
+        if c.up && !std::mem::replace(&mut c.dirty, true) {
+            if c.ready > now {
+                self.resting.insert((c.ready, key));
+                return;
+            }
             if self.dirty.is_empty() {
                 self.since = now;
             }
@@ -82,6 +85,7 @@
                 key: *key,
                 up: c.up,
                 since: if c.up { c.moved } else { c.link.begun },
+                ready: c.ready,
                 depth: c.depth(),
                 head_age: c.pipe.head_age(now),
                 history: c.pipe.history(),
--- a/crates/proxy/src/boxes/connection.rs
+++ b/crates/proxy/src/boxes/connection.rs
@@ -74,6 +74,9 @@
     pub heard: Nanos,
     /// Something has come on it that is not read yet.
     pub unread: bool,
+    /// When the last answer came on it, and from when on it may carry the next command.
+    pub answered: Nanos,
+    pub ready: Nanos,
     /// How long it had been idle before the attempt that was written last; 0 if it was not.
     pub rested: Nanos,
     /// The first of the attempts sent is being answered with a long value, which is passed on as it comes.
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -21,14 +21,14 @@
 use control::message::{BoxStatus, Pipelines, DEPTHS};
 use mio::{Registry, Token};
 use node::{word, Node};
-use pipeline::{Called, Fate, Limits, Pipe, Placing, Times};
+use pipeline::{Called, Fate, Limits, Pipe, Placing, Rest, Times};
 use resp::{Frame, Item, Kind, Part, Protocol, Reply, ReplyReader, Shape};
 use rests::Rests;
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde_json::{json, Value};
 use slab::Slab;
 use socket::{Dial, Socket};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, Read};
 
 const MS: Nanos = 1_000_000;
@@ -96,12 +96,16 @@
         return Err(faults.join("\n"));
     }
     let depth = |reads_or_writes: Option<usize>| reads_or_writes.filter(|_| told.enabled).unwrap_or(1);
+    let depth = [depth(told.reads), depth(told.writes)];
+    // Where commands go behind one another anyway, a rest before the first of them guards nothing.
+    let rest = told.rest_ms.map(|ms| ms * MS).or((depth != [1, 1]).then_some(0));
     Ok(Limits {
         placing: if told.expected { Placing::Expected } else { Placing::Fixed },
-        depth: [depth(told.reads), depth(told.writes)],
+        depth,
         apart: told.apart,
         head_quantile: told.head_quantile,
         handshake_cost: told.handshake_cost,
+        rest: Rest::new(rest),
     })
 }
 
@@ -186,7 +190,9 @@
     past: Pipelines,
     /// Connections that something waits on, to be written to at the end of a step of the loop.
     dirty: Vec<usize>,
-    /// Since when.
+    /// Those of them that rest, by when their rest is over.
+    resting: BTreeSet<(Nanos, usize)>,
+    /// Since when the first of the others waits.
     since: Nanos,
     /// The longest that connections may be idle, as stated and as learned.
     stated: Nanos,
@@ -223,6 +229,7 @@
             told: told.pipeline.clone(),
             past: Pipelines::default(),
             dirty: Vec::new(),
+            resting: BTreeSet::new(),
             since: 0,
             stated: 0,
             fresh: 0,
@@ -247,8 +254,12 @@
     pub fn configure(&mut self, config: &Config) {
         let share = NODE_CONNECTIONS / config.settings.proxies.max(1) as usize;
         self.per_node = share.clamp(1, MOST_CONNECTIONS);
-        // What can't hold with it has been refused before.
+        // What can't hold with it has been refused before. What was learned of rests is kept.
+        let rest = self.pipes.rest;
         self.pipes = pipes(&self.told, config).unwrap_or(self.pipes);
+        if rest.span() > self.pipes.rest.span() && self.pipes.rest != Rest::NONE {
+            self.pipes.rest = rest;
+        }
         self.stated = (config.idle as f64 * IDLE_PART) as Nanos;
         self.fresh = self.rests.fresh(self.stated);
     }
@@ -493,6 +504,8 @@
             moved: now,
             heard: now,
             unread: false,
+            answered: 0,
+            ready: 0,
             rested: 0,
             passing: false,
             paused: false,
@@ -675,8 +688,13 @@
         }
         if !c.used {
             self.refused(key, now);
+            self.close(key);
+        } else if c.pipe.sent() == 0 {
+            // It closed an idle one; what waited for the end of its rest has met nobody yet.
+            self.close_and_go_on(key, now);
+        } else {
+            self.close(key);
         }
-        self.close(key);
     }
 
     /// Closes a connection and tells what became of the attempts on it.
@@ -770,7 +788,7 @@
                         c.moved = now;
                     }
                     if !self.input(key, &buffer[..n], now) {
-                        self.close(key);
+                        self.surplus(key, now);
                         return;
                     }
                     if self.all.get(key).is_some_and(|c| c.passing) {
@@ -848,6 +866,7 @@
             let Some(answered) = c.pipe.answered(now) else { return false };
             let bytes = if three { value } else { std::mem::take(&mut c.reply) };
             let passed = std::mem::take(&mut c.passing);
+            (c.answered, c.ready) = (now, if c.depth() == 0 { now + self.pipes.rest.span() } else { now });
             let (server, first) = (c.node, !std::mem::replace(&mut c.used, true));
             if let Some(node) = self.nodes.get_mut(&c.node) {
                 node.book.answered(c.link.over, answered.took, now);
@@ -877,6 +896,25 @@
         self.all.get(key).is_none_or(|c| !c.pipe.deserted() || c.pipe.sent() == 0)
     }
 
+    /// Something came on a connection that can't be used any more by that: nobody asked for it, or nobody waits. What is
+    /// not written yet goes by another.
+    fn surplus(&mut self, key: usize, now: Nanos) {
+        let Some(c) = self.all.get(key) else { return };
+        if c.pipe.head().is_none() {
+            self.pipes.rest.surplus(now.saturating_sub(c.answered));
+            self.nodes.get_mut(&c.node).into_iter().for_each(|n| n.counts.surplus += 1);
+        }
+        self.close_and_go_on(key, now);
+    }
+
+    /// Closes a connection; what waits on it, of which no byte is written, goes by another.
+    fn close_and_go_on(&mut self, key: usize, now: Nanos) {
+        let Some(c) = self.all.get_mut(key) else { return };
+        let (server, jobs) = (c.node, c.pipe.strand());
+        self.close(key);
+        self.displace(server, jobs, now);
+    }
+
     /// Takes a part of a long value; its reply, once that is whole. The parts of one that nobody waits for any more
     /// are dropped.
     fn part(&mut self, key: usize, part: Part) -> Option<Reply> {
@@ -998,6 +1036,45 @@
         assert_eq!((boxes.all.len(), boxes.written, boxes.nodes[&7].counts.moved), (1, 0, 1));
     }
 
+    #[test]
+    fn an_attempt_waits_for_the_end_of_its_connections_rest_and_goes_by_another_if_anything_comes() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let poll = mio::Poll::new().expect("a poll");
+        for surplus in [false, true] {
+            let mut boxes = before(&listener, &poll);
+            boxes.pipes = Limits { rest: Rest::new(None), ..Limits::default() };
+            let (key, _) = boxes.send(7, job(&sample()), 0).expect("a connection");
+            let mut node = listener.accept().expect("accepted").0;
+            let begun = Instant::now();
+            let waits = || assert!(begun.elapsed() < Duration::from_secs(20), "nothing happens");
+            while boxes.written == 0 {
+                waits();
+                boxes.ready(key, false, &mut [0; 64], MS);
+            }
+            node.write_all(b"*3\r\n$1\r\nx\r\n$-1\r\n$-1\r\n").expect("written");
+            while !matches!(boxes.news(), Some(News::Served(1, 0, ..))) {
+                waits();
+                boxes.ready(key, false, &mut [0; 64], 2 * MS);
+            }
+            let again = Job { attempt: 1, ..job(&sample()) };
+            assert!(matches!(boxes.send(7, again, 3 * MS), Some((same, None)) if same == key));
+            assert_eq!((boxes.due(), boxes.write(6 * MS), boxes.written), (Some(7 * MS), false, 1));
+            if surplus {
+                node.write_all(b"*3\r\n$1\r\nx\r\n$-1\r\n$-1\r\n").expect("written");
+                while boxes.nodes[&7].counts.surplus == 0 {
+                    waits();
+                    boxes.ready(key, false, &mut [0; 64], 6 * MS);
+                }
+                let moved = boxes.news();
+                assert!(matches!(moved, Some(News::Moved(1, 1, _, Some(_)))), "{moved:?}");
+                assert_eq!((boxes.written, boxes.nodes[&7].counts.breaks), (1, 0));
+            } else {
+                assert!(boxes.write(7 * MS) && boxes.all[key].pipe.is_written((1, 1)));
+                assert_eq!((boxes.due(), boxes.written), (None, 2));
+            }
+        }
+    }
+
     #[test]
     fn what_waits_for_a_slow_connection_takes_one_that_becomes_free_first() {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
@@ -1020,7 +1097,9 @@
             }
         }
         assert!(matches!(boxes.news(), Some(News::Moved(1, 1, key, None)) if key == up));
-        assert!(boxes.write(2 * MS) && boxes.all[up].pipe.is_written((1, 1)) && boxes.all[slow].depth() == 0);
+        // The connection rests after its answer, which came at 2 ms.
+        assert!(!boxes.write(2 * MS));
+        assert!(boxes.write(7 * MS) && boxes.all[up].pipe.is_written((1, 1)) && boxes.all[slow].depth() == 0);
     }
 
     #[test]
--- a/crates/proxy/src/boxes/write.rs
+++ b/crates/proxy/src/boxes/write.rs
@@ -6,8 +6,12 @@
 use std::io::{self, IoSlice, Write};
 
 impl Boxes {
-    /// When something is to be written that the operator has wait for more.
+    /// When something is to be written: what the operator has wait for more, or what waits for the end of a rest.
     pub fn due(&self) -> Option<Nanos> {
+        self.batch_due().into_iter().chain(self.resting.first().map(|(at, _)| *at)).min()
+    }
+
+    fn batch_due(&self) -> Option<Nanos> {
         (!self.dirty.is_empty()).then(|| self.since + self.told.batch_delay_us * 1_000)
     }
 
@@ -21,38 +25,47 @@
         if self.due().is_none_or(|at| now < at) {
             return false;
         }
-        while let Some(key) = self.dirty.pop() {
-            let Some(c) = self.all.get_mut(key) else { continue };
-            if !std::mem::take(&mut c.dirty) {
-                // Another connection has come to this place since, or it was written to.
-                continue;
+        if self.batch_due().is_some_and(|at| at <= now) {
+            while let Some(key) = self.dirty.pop() {
+                self.look_and_flush(key, now);
             }
-            if c.pipe.sent() > 0 || c.pipe.midway() || !c.pipe.waits() || c.link.socket.is_quiet() {
+        }
+        while let Some(over) = self.resting.first().copied().filter(|(at, _)| *at <= now) {
+            self.resting.remove(&over);
+            self.look_and_flush(over.1, now);
+        }
+        true
+    }
+
+    fn look_and_flush(&mut self, key: usize, now: Nanos) {
+        let Some(c) = self.all.get_mut(key).filter(|c| c.ready <= now) else { return };
+        if !std::mem::take(&mut c.dirty) {
+            // Another connection has come to this place since, or it was written to.
+            return;
+        }
+        if c.pipe.sent() > 0 || c.pipe.midway() || !c.pipe.waits() || c.link.socket.is_quiet() {
+            self.flush(key, now);
+            return;
+        }
+        if !c.speaks_three() {
+            self.close_and_go_on(key, now);
+            return;
+        }
+        let (server, mut jobs) = (c.node, c.pipe.strand());
+        self.read(key, false, &mut [0; 4 << 10], now);
+        if let Some(c) = self.all.get_mut(key) {
+            c.unread = !c.link.socket.is_quiet();
+            if !c.unread && !c.midway() {
+                jobs.drain(..).for_each(|job| c.pipe.push(job));
                 self.flush(key, now);
-                continue;
-            }
-            let (server, mut jobs) = (c.node, c.pipe.strand());
-            if !c.speaks_three() {
-                self.close(key);
-                self.displace(server, jobs, now);
-                continue;
-            }
-            self.read(key, false, &mut [0; 4 << 10], now);
-            if let Some(c) = self.all.get_mut(key) {
-                c.unread = !c.link.socket.is_quiet();
-                if !c.unread && !c.midway() {
-                    jobs.drain(..).for_each(|job| c.pipe.push(job));
-                    self.flush(key, now);
-                }
             }
-            self.displace(server, jobs, now);
         }
-        true
+        self.displace(server, jobs, now);
     }
 
     /// Writes what the socket takes.
     pub(super) fn flush(&mut self, key: usize, now: Nanos) {
-        while let Some(c) = self.all.get_mut(key) {
+        while let Some(c) = self.all.get_mut(key).filter(|c| c.ready <= now || c.pipe.midway()) {
             if !c.pipe.midway() && !self.fill(key, now) {
                 return;
             }
--- a/crates/proxy/tests/pipeline.rs
+++ b/crates/proxy/tests/pipeline.rs
@@ -352,9 +352,9 @@
     Half,
 }
 
-/// A box that answers each read with its key and id after half a millisecond, and every second one with a surplus in the
-/// same write if nothing else has come by then.
-fn generous(listener: TcpListener, surplus: Surplus, sent: Arc<AtomicUsize>) {
+/// A box that answers each read with its key and id after half a millisecond, and every second one with a surplus if
+/// nothing else has come by then: in the same write, or so many milliseconds later at the most, whatever comes meanwhile.
+fn generous(listener: TcpListener, surplus: Surplus, late_ms: u64, sent: Arc<AtomicUsize>) {
     for mut stream in listener.incoming().flatten() {
         let sent = sent.clone();
         std::thread::spawn(move || {
@@ -379,7 +379,24 @@
                         Surplus::Noise => b"-ERR failed\r\n".to_vec(),
                         Surplus::Half => out[..out.len() / 2].to_vec(),
                     };
-                    out.extend(more);
+                    if late_ms == 0 {
+                        out.extend(more);
+                    } else {
+                        let late = Duration::from_micros(fastrand::u64(0..late_ms * 1_000));
+                        let mut apart = stream.try_clone().expect("a clone");
+                        if apart.write_all(&out).is_err() {
+                            break;
+                        }
+                        out.clear();
+                        std::thread::spawn(move || {
+                            let begun = Instant::now();
+                            std::thread::sleep(late);
+                            // One that was held up is not sent: it would be later than is told.
+                            if begun.elapsed() < Duration::from_millis(late_ms + 10) {
+                                let _ = apart.write_all(&more);
+                            }
+                        });
+                    }
                 }
                 if stream.write_all(&out).is_err() {
                     break;
@@ -389,30 +406,41 @@
     }
 }
 
-/// Many clients at a proxy before one such box with one connection: nobody gets what was made for another.
-fn beside_a_generous_box(surplus: Surplus, requests: usize) {
+/// Many clients at a proxy before one such box with one connection, until so many are served: how many that were, how
+/// often the box sent too much, and how many got what was made for another.
+fn beside_a_generous_box(
+    surplus: Surplus,
+    late_ms: u64,
+    operator: &str,
+    requests: usize,
+) -> (usize, usize, usize) {
     const CLIENTS: usize = 3;
     let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
     let mut node = Server::many(0);
     node.addresses.push(listener.local_addr().expect("an address"));
     let sent = Arc::new(AtomicUsize::new(0));
     let counted = sent.clone();
-    std::thread::spawn(move || generous(listener, surplus, counted));
-    let proxy = Proxy::with(&node, narrow);
-    let served = AtomicUsize::new(0);
+    std::thread::spawn(move || generous(listener, surplus, late_ms, counted));
+    let proxy = Proxy::operated(&node, operator, narrow);
+    let (served, wrong, begun) = (AtomicUsize::new(0), AtomicUsize::new(0), Instant::now());
     std::thread::scope(|scope| {
         for c in 0..CLIENTS {
-            let (proxy, served) = (&proxy, &served);
+            let (proxy, served, wrong) = (&proxy, &served, &wrong);
             scope.spawn(move || {
                 let mut client = proxy.client();
-                for i in 0..requests / CLIENTS {
+                for i in 0.. {
+                    if served.load(Ordering::Relaxed) >= requests {
+                        return;
+                    }
+                    assert!(begun.elapsed() < 3 * PATIENCE, "{surplus:?}: hardly any is served");
                     // Half of them ask for a key that all ask for.
                     let (key, id) = (if i % 2 == 0 { 7 } else { c as u64 }, format!("{c}-{i}"));
                     client.send(read(key, &id, 2_000));
                     let answer = client.command();
                     if answer.len() > 1 {
-                        assert_eq!(answer[0], format!("{key:016x}:{id}"), "{surplus:?}");
+                        let right = answer[0] == format!("{key:016x}:{id}");
                         served.fetch_add(1, Ordering::Relaxed);
+                        wrong.fetch_add(usize::from(!right), Ordering::Relaxed);
                     } else {
                         // Refused while the connection is taken: asked again when it may be free.
                         std::thread::sleep(Duration::from_micros(300));
@@ -422,20 +450,49 @@
         }
     });
     let (served, sent) = (served.into_inner(), sent.load(Ordering::Relaxed));
-    assert!(served > requests / 10 && sent > requests / 100, "{surplus:?}: {served} served, {sent} surplus");
+    (served, sent, wrong.into_inner())
+}
+
+/// The same, for each kind of surplus: there was enough of it, and none was given to another request.
+fn none_to_another(late_ms: u64, operator: &str, requests: usize) {
+    for surplus in SURPLUS {
+        let (served, sent, wrong) = beside_a_generous_box(surplus, late_ms, operator, requests);
+        assert!(sent > served / 10, "{surplus:?}: {served} served, {sent} more");
+        assert_eq!(wrong, 0, "{surplus:?} to {late_ms} ms late, {served} served, {sent} more");
+    }
 }
 
+const SURPLUS: [Surplus; 3] = [Surplus::Copy, Surplus::Noise, Surplus::Half];
+
 #[test]
 fn what_a_box_sends_too_much_is_never_given_to_another_request() {
-    [Surplus::Copy, Surplus::Noise, Surplus::Half].into_iter().for_each(|s| beside_a_generous_box(s, 3_000));
+    none_to_another(0, "version = 1", 600);
+}
+
+/// Copies and noise in segments of their own, some milliseconds behind the answer, while the next commands come.
+#[test]
+fn what_a_box_sends_too_much_some_milliseconds_late_is_found_while_its_connection_rests() {
+    // A thread that sleeps may wake late on a busy machine, so the rest is much longer than what it is to cover.
+    none_to_another(15, "version = 1\n[pipeline]\nrest_ms = 50", 40);
+}
+
+/// What remains without a rest, with the rest as it is at first, and with one that covers all: prints a line each.
+#[test]
+#[ignore = "a measurement"]
+fn how_much_too_late_is_given_to_another_request_by_rest_and_lateness() {
+    for late_ms in [4, 10, 20] {
+        for rest in ["rest_ms = 0", "", "rest_ms = 25"] {
+            let operator = format!("version = 1\n[pipeline]\n{rest}");
+            let (served, sent, wrong) = beside_a_generous_box(Surplus::Copy, late_ms, &operator, 1_000);
+            println!("to {late_ms} ms late, {rest:?}: {served} served, {sent} too much, {wrong} to another");
+        }
+    }
 }
 
 #[test]
 #[ignore = "a million answers take minutes"]
 fn in_a_million_answers_nothing_too_much_is_given_to_another_request() {
-    [Surplus::Copy, Surplus::Noise, Surplus::Half]
-        .into_iter()
-        .for_each(|s| beside_a_generous_box(s, 1_000_000));
+    none_to_another(0, "version = 1", 1_000_000);
 }
 
 #[test]
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -964,8 +964,11 @@
     held[1].send(RECEIPT);
     assert_eq!(first[1].command()[0], "ok");
     write(&mut last[0], 5);
-    assert_eq!(held[1].command()[4].len(), value.len());
-    held.iter_mut().for_each(|peer| peer.send(RECEIPT));
+    // It goes by one of the two that are free.
+    held.push(at_node);
+    let (by, command) = node.any(&mut held);
+    assert_eq!(command[4].len(), value.len());
+    [0, 2, 3, by].into_iter().for_each(|peer| held[peer].send(RECEIPT));
     for writer in [0, 2, 3] {
         assert_eq!(first[writer].command()[0], "ok");
     }
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -131,6 +131,15 @@
         Peer::new(TcpStream::connect(address).expect("connected"))
     }
 
+    /// Connects, if the other end lets it: one that is down may reset a connection that is just coming up.
+    pub fn reaches(address: SocketAddr) -> Option<Peer> {
+        match TcpStream::connect(address) {
+            Ok(stream) => Some(Peer::new(stream)),
+            Err(e) if matches!(e.kind(), ErrorKind::ConnectionReset | ErrorKind::ConnectionRefused) => None,
+            Err(e) => panic!("not connected: {e}"),
+        }
+    }
+
     /// Writes all of it.
     pub fn send(&mut self, bytes: impl AsRef<[u8]>) {
         assert!(self.offers(bytes), "closed before it was written");
--- a/crates/testkit/tests/world.rs
+++ b/crates/testkit/tests/world.rs
@@ -236,9 +236,10 @@
     world.play(
         Script::new().then(at, lasts, Fault::Down(0)).for_good(at, Fault::Discovery(Mode::Unavailable)),
     );
-    until("down", || connect(&world).rest().is_empty());
+    let reach = || Peer::reaches(world.boxes[0].addresses[0]);
+    until("down", || reach().is_none_or(|mut peer| peer.rest().is_empty()));
     until("up again", || {
-        let mut peer = connect(&world);
+        let Some(mut peer) = reach() else { return false };
         peer.offers(encode(&["PING"])) && peer.take_some() == b"+PONG\r\n"
     });
     assert_eq!(call(&world, 0, "/catalog/members").0, "503");
