--- a/crates/lab/src/knee.rs
+++ b/crates/lab/src/knee.rs
@@ -43,18 +43,6 @@
     Ok(Load { rate, share: good as f64 / all.max(1) as f64, runs })
 }
 
-/// Boxes and all that grows with them.
-fn scaled(scenario: &mut Scenario, boxes: usize) {
-    let times = boxes as f64 / scenario.topology.boxes as f64;
-    let grown = |n: usize| ((n as f64 * times).round() as usize).max(1);
-    scenario.topology.boxes = boxes;
-    scenario.topology.proxies = grown(scenario.topology.proxies);
-    scenario.origin.places = grown(scenario.origin.places);
-    scenario.origin.queue = grown(scenario.origin.queue);
-    scenario.traffic.keys = (scenario.traffic.keys as f64 * times).ceil() as u64;
-    scenario.traffic.rate *= times;
-}
-
 /// What there is most of among the requests that were not served in time, and what stood at its end.
 fn gives_way(load: &Load) -> String {
     let sum = |f: fn(&Summary) -> u64| load.runs.iter().map(f).sum::<u64>();
@@ -87,7 +75,7 @@
     }
     let mut scenario = scenarios::load(&args.file)?;
     if let Some(boxes) = args.boxes {
-        scaled(&mut scenario, boxes);
+        scenario = scenarios::scaled(scenario, boxes)?;
     }
     let mut low: Option<Load> = None;
     let mut rate = scenario.traffic.rate;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! Experiments: scenarios in the model and over sockets, sweeps, the knee, comparisons, reports, and a load tool. Who
 //! decides, and what a run comes to, is `model`'s; this crate reads files, uses all cores and prints.
 
+mod campaign;
 mod compare;
 mod knee;
 pub mod load;
@@ -42,6 +43,8 @@
     Load(load::Args),
     /// Search for the highest load that keeps a goal.
     Knee(knee::Args),
+    /// Play days of a bench outside of this repository over many seeds, and write one table.
+    Campaign(campaign::Args),
     /// Compare two sets of results, paired by scenario, parameters and seed.
     Compare(compare::Args),
     /// Write a page with plots of a folder of results.
@@ -74,6 +77,9 @@
     /// Who decides, in the model.
     #[arg(long, default_value = "shipped")]
     policy: String,
+    /// Boxes, instead of the scenario's; proxies, the origin, discovery, keys and the load follow in proportion.
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=20_000))]
+    boxes: Option<u32>,
     /// Print one JSON object.
     #[arg(long)]
     json: bool,
@@ -118,6 +124,7 @@
         Command::Sweep(args) => sweep::command(args),
         Command::Load(args) => load::command(args),
         Command::Knee(args) => knee::command(args),
+        Command::Campaign(args) => campaign::command(args),
         Command::Compare(args) => compare::command(args),
         Command::Report(args) => report::command(args),
         Command::Scenarios { name } => scenarios::list(name.as_deref()),
@@ -132,7 +139,10 @@
 }
 
 fn run(args: &RunArgs) -> Result<u8, Failure> {
-    let scenario = scenarios::load(&args.file)?;
+    let mut scenario = scenarios::load(&args.file)?;
+    if let Some(boxes) = args.boxes {
+        scenario = scenarios::scaled(scenario, boxes as usize)?;
+    }
     let summary = match args.place {
         Place::Model => {
             model::run(&scenario, &args.policy, args.seed).map_err(|e| Failure::Input(vec![e]))?
--- a/crates/lab/src/scenarios.rs
+++ b/crates/lab/src/scenarios.rs
@@ -25,6 +25,12 @@
     "slow-death",
     "origin-stop",
     "overlaps",
+    "mass-calm",
+    "mass-roll",
+    "mass-herd",
+    "mass-zone",
+    "mass-split",
+    "mass-join",
 );
 
 /// The text of a file or of a scenario that ships.
@@ -43,6 +49,27 @@
     Scenario::read(&text(file)?).map_err(|all| told(file, &all))
 }
 
+/// Boxes, and all that grows with them.
+///
+/// # Errors
+/// The scenario names boxes or proxies by numbers that are not there then, or goes past a bound.
+pub fn scaled(mut scenario: Scenario, boxes: usize) -> Result<Scenario, Failure> {
+    let times = boxes as f64 / scenario.topology.boxes as f64;
+    let grown = |n: usize| ((n as f64 * times).round() as usize).max(1);
+    scenario.topology.boxes = boxes;
+    scenario.topology.proxies = grown(scenario.topology.proxies);
+    scenario.origin.places = grown(scenario.origin.places);
+    scenario.origin.queue = grown(scenario.origin.queue);
+    if scenario.discovery.calls_a_second > 0 {
+        scenario.discovery.calls_a_second = grown(scenario.discovery.calls_a_second as usize) as u32;
+    }
+    scenario.traffic.keys = (scenario.traffic.keys as f64 * times).ceil() as u64;
+    scenario.traffic.rate *= times;
+    let name = scenario.name.clone();
+    let table = toml::Table::try_from(scenario).map_err(|e| Failure::Io(e.to_string()))?;
+    Scenario::from_table(table).map_err(|all| told(&name, &all))
+}
+
 /// Problems as lines.
 pub fn told(file: &str, all: &[model::Problem]) -> Failure {
     Failure::Input(all.iter().map(|p| format!("{file}: {p}")).collect())
--- a/crates/lab/tests/tool.rs
+++ b/crates/lab/tests/tool.rs
@@ -32,7 +32,9 @@
     std::thread::scope(|s| {
         for name in names {
             s.spawn(move || {
-                let run = lab(&["run", name, "--seed", "3"]);
+                // A fleet of hundreds is played in small here.
+                let small: &[&str] = if name.starts_with("mass-") { &["--boxes", "20"] } else { &[] };
+                let run = lab(&[&["run", name, "--seed", "3"], small].concat());
                 assert_eq!(run.status.code(), Some(0), "{name}: {}{}", text(&run.stdout), text(&run.stderr));
                 assert!(lab(&["check", name]).status.success());
             });
@@ -118,3 +120,57 @@
     assert!(page.matches("<svg").count() == 5 && !page.contains("src="), "not in one file");
     assert!(std::fs::metadata(folder.0.join("out/plot-000-1.png")).is_ok_and(|m| m.len() > 1_000));
 }
+
+/// A bench of this test's own: it leaves an entry in the journal of the folder that it is called in, and names it.
+const BENCH: &str = r#"#!/bin/sh
+echo "$@" >> calls
+id="$3-$5-$(wc -l < calls | tr -d ' ')"
+lost=0; [ "$5" = 13 ] && lost=2
+mkdir -p journal
+cat > "journal/20260101T000000-$id.json" <<END
+{"v":1,"error":null,"digest":"G 0.6\nprices: origin 0.0400, waste 0.0030\nrules","days":[{"G":0.6,"G_top":0.7,
+"score":0.8,"served":0.7,"served_least":0.25,"by_class":[["a",0.6,0.2]],"rules":{"lost":$lost,"dup":0},"fault":null,
+"gate":null,"memory_mb":1,"files":40,"caps":[48,512,0.2]}]}
+END
+echo "snapshot $id"
+"#;
+
+#[test]
+fn a_campaign_plays_each_day_once_on_both_sides_and_tells_a_broken_rule() {
+    use std::os::unix::fs::PermissionsExt;
+    let folder = Folder::new("lab").expect("a folder");
+    let bench = write(&folder, "bench", BENCH);
+    std::fs::set_permissions(&bench, std::fs::Permissions::from_mode(0o755)).expect("set");
+    let site = write(&folder, "site.toml", "");
+    let sides = ["here", "there"].map(|side| folder.0.join(side));
+    for side in &sides {
+        std::fs::create_dir_all(side.join("deploy")).expect("made");
+        std::fs::write(side.join("deploy/balancer.toml"), "").expect("written");
+    }
+    let out = path(&folder, "plays.jsonl");
+    let campaign = |more: &[&str]| {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_trestlelab"));
+        command.current_dir(&sides[0]).args(["campaign", "--bench", &bench, "--site", &site, "--out", &out]);
+        command.args(["--why", "a test", "--kinds", "calm,join", "--lanes", "3"]);
+        command.args(more).output().expect("run")
+    };
+    let there = sides[1].to_str().expect("a path");
+    let first = campaign(&["--seeds", "7,8", "--against", there]);
+    let told = text(&first.stdout);
+    assert_eq!(first.status.code(), Some(0), "{told}{}", text(&first.stderr));
+    assert!(
+        told.lines().count() == 2 + 8
+            && told.contains("| served 2.8 times |")
+            && told.contains("origin 0.040"),
+        "{told}"
+    );
+    // What is there is not played again; a rule that broke is told, by the exit code too.
+    let calls =
+        |side: usize| std::fs::read_to_string(sides[side].join("calls")).expect("calls").lines().count();
+    assert_eq!((calls(0), calls(1)), (4, 4));
+    let second = campaign(&["--seeds", "7,8,13"]);
+    assert_eq!((second.status.code(), calls(0), calls(1)), (Some(1), 6, 4), "{}", text(&second.stderr));
+    assert!(text(&second.stdout).contains("| lost 2 times |"));
+    let bad = campaign(&["--seeds", "7", "--against", "nowhere"]);
+    assert!(bad.status.code() == Some(2) && text(&bad.stderr).contains("nowhere: is not there"));
+}
