A watch that falls silent is begun anew at once: its news counted as told before it was asked for

Lines at fault: PATIENCE in platform/discovery.rs gave the call up only 1.5 s after its wait, and the module then backed off (Brain::ask_later: 0.5 to 2.4 s with 60 proxies, 1.2 to 6 s with 300), so the next list came up to 2 s too late. At 300 proxies nothing has shown it, but the same lines run there.

Now a call that has said nothing 0.4 s after its wait is kept and listened to, and the watch is begun anew beside it at once, 1.6 s before its news count and 2.1 s before the grace ends. That starts no herd: the calls of a fleet fall due as their watches began, which was spread. If the new call fails too the module backs off as before. The test fails without it (the next call came after 11.5 s and more).

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -138,7 +138,7 @@
             copies.map(|(told, settings)| Copies::new(told, settings, &config, kept.state.shadow, now));
         let known = config.known.take();
         let version = known.as_ref().map(|k| k.version);
-        let calls = [0, 1].map(|call| Source::Discovery(call).token());
+        let calls = [0, 1, 2].map(|call| Source::Discovery(call).token());
         let mut proxy = Proxy {
             signals,
             brain: Brain::new(config.settings.clone(), config.seed),
@@ -402,7 +402,7 @@
                         // What clients leave, nodes may have again.
                         self.boxes.make_room(self.places, self.clients.count());
                     }
-                    let answer = self.discovery.sweep(self.turn.now);
+                    let answer = self.discovery.sweep(self.turn.registry(), self.turn.now);
                     self.discovered(answer);
                     self.stop();
                     self.admin.iter_mut().for_each(|a| a.sweep(self.turn.now));
--- a/crates/proxy/src/platform/discovery.rs
+++ b/crates/proxy/src/platform/discovery.rs
@@ -16,6 +16,11 @@
 /// How long a call of a watch waits for news. News of a call that hangs counts as told 2 s after its wait:
 /// a short wait finds that out sooner, a long one spares discovery calls.
 const WAIT: Nanos = 10_000 * MS;
+/// A call whose answer has not come so long after its wait has fallen silent: the watch is begun anew, at once, and what
+/// the old call may still say is listened for. Guards against the time at which its news count as told: that is 2 s
+/// after its wait, and an answer to the new call may stand in a queue for as long. Calls of a fleet are spread, as their
+/// watches began, so that those which all fell silent in one moment are not begun anew in one.
+const SILENT: Nanos = 400 * MS;
 /// The answer of one that waits comes no later than this after its wait.
 const PATIENCE: Nanos = 1_500 * MS;
 /// For one that does not wait for news, but stands in the queue of a discovery that may take 2 s over it. Guards against
@@ -179,13 +184,15 @@
     out: Vec<u8>,
     written: usize,
     deadline: Nanos,
+    /// The watch is begun anew then, if this one has said nothing.
+    anew: Option<Nanos>,
     framing: Framing,
     /// Input not yet understood: a head, or a chunk's size.
     pending: Vec<u8>,
     body: Vec<u8>,
 }
 
-/// The calls to discovery: at most one of the watch and one for the whole list.
+/// The calls to discovery: at most one of the watch, one that has fallen silent, and one for the whole list.
 #[derive(Debug)]
 pub struct Discovery {
     address: SocketAddr,
@@ -195,23 +202,26 @@
     heard: Option<Nanos>,
     /// Older lists in a row.
     older: u32,
-    tokens: [Token; 2],
+    tokens: [Token; 3],
     watch: Option<Call>,
     fetch: Option<Call>,
+    /// The call of a watch that fell silent and was begun anew.
+    silent: Option<Call>,
 }
 
 impl Discovery {
-    /// Nothing asked yet; `version` is that of the list already known, `tokens` are for the watch and for a
-    /// call for the whole list.
-    pub fn new(address: SocketAddr, names: Names, version: Option<u64>, tokens: [Token; 2]) -> Self {
-        Discovery { address, names, version, heard: None, older: 0, tokens, watch: None, fetch: None }
+    /// Nothing asked yet; `version` is that of the list already known, `tokens` are for the watch, for a call for the
+    /// whole list, and for one that has fallen silent.
+    pub fn new(address: SocketAddr, names: Names, version: Option<u64>, tokens: [Token; 3]) -> Self {
+        let (watch, fetch, silent) = (None, None, None);
+        Discovery { address, names, version, heard: None, older: 0, tokens, watch, fetch, silent }
     }
 
     /// Discovery is at another address from now on. Calls that are out end, and the list is known in no
     /// version of the new one's.
     pub fn moved(&mut self, address: SocketAddr) {
         (self.address, self.version, self.older) = (address, None, 0);
-        (self.watch, self.fetch) = (None, None);
+        (self.watch, self.fetch, self.silent) = (None, None, None);
     }
 
     /// The version of the list, and when discovery last said what it is.
@@ -256,6 +266,7 @@
             out: out.into_bytes(),
             written: 0,
             deadline: now + wait + patience,
+            anew: (purpose == Purpose::Follow).then_some(now + wait + SILENT),
             framing: Framing::Head,
             pending: Vec::new(),
             body: Vec::new(),
@@ -264,6 +275,9 @@
 
     /// Drives the call of a token as far as its socket allows; its answer, once there is one.
     pub fn ready(&mut self, registry: &Registry, token: Token, now: Nanos) -> Option<Answer> {
+        if token == self.tokens[2] {
+            return self.silent_ready(now);
+        }
         let slot = if token == self.tokens[0] { &mut self.watch } else { &mut self.fetch };
         let call = slot.as_mut()?;
         let purpose = call.purpose;
@@ -291,6 +305,23 @@
         told.then_some(Answer::News(news))
     }
 
+    /// What a call says that had fallen silent: it counts as told, so it is taken, unless more is known by now. That it
+    /// fails or ends is no news.
+    fn silent_ready(&mut self, now: Nanos) -> Option<Answer> {
+        let read = match self.silent.as_mut()?.drive() {
+            Ok(false) => return None,
+            Ok(true) => self.silent.take().and_then(|c| serde_json::from_slice(&c.body).ok()),
+            Err(_) => None,
+        };
+        self.silent = None;
+        let news = read_list(&read?, &self.names).ok()?;
+        if self.version.is_some_and(|known| news.version <= known) {
+            return None;
+        }
+        (self.version, self.heard) = (Some(news.version), Some(now));
+        Some(Answer::News(news))
+    }
+
     /// The list, unless it is older than the one in force.
     fn in_order(&mut self, news: News) -> Result<News, ListError> {
         match self.version {
@@ -305,8 +336,28 @@
         }
     }
 
-    /// Ends what has waited too long. Danger: a discovery that is cut off says nothing at all.
-    pub fn sweep(&mut self, now: Nanos) -> Option<Answer> {
+    fn begin_anew(&mut self, registry: &Registry, now: Nanos) -> Result<(), ListError> {
+        let mut silent = self.watch.take();
+        if let Some(call) = &mut silent {
+            let both = Interest::READABLE | Interest::WRITABLE;
+            let kept = registry.reregister(&mut call.stream, self.tokens[2], both);
+            kept.map_err(|_| ListError::Http("connection lost"))?;
+        }
+        self.silent = silent;
+        self.watch = Some(self.call(registry, Purpose::Begin, now)?);
+        Ok(())
+    }
+
+    /// Begins a watch anew that has fallen silent, and ends what has waited too long. Danger: a discovery that is cut off says nothing at all.
+    pub fn sweep(&mut self, registry: &Registry, now: Nanos) -> Option<Answer> {
+        if self.silent.as_ref().is_some_and(|c| c.deadline <= now) {
+            self.silent = None;
+        }
+        if self.watch.as_ref().is_some_and(|c| c.anew.is_some_and(|at| at <= now)) {
+            if let Err(e) = self.begin_anew(registry, now) {
+                return Some(Answer::Failed(e));
+            }
+        }
         let mut over = false;
         for slot in [&mut self.watch, &mut self.fetch] {
             if slot.as_ref().is_some_and(|c| c.deadline <= now) {
--- a/crates/proxy/src/turn.rs
+++ b/crates/proxy/src/turn.rs
@@ -174,7 +174,7 @@
             let peers = [Source::Client(i), Source::Box(i), Source::Rival(i), Source::Candidate(i)];
             peers.into_iter().chain([Source::Controller(i), Source::Caller(i)])
         });
-        let all: Vec<Source> = ones.into_iter().chain((0..2).map(Source::Discovery)).chain(many).collect();
+        let all: Vec<Source> = ones.into_iter().chain((0..3).map(Source::Discovery)).chain(many).collect();
         for (i, source) in all.iter().enumerate() {
             assert_eq!(Source::from(source.token()), *source);
             assert!(all[..i].iter().all(|other| other.token() != source.token()), "{source:?}");
--- a/crates/proxy/tests/restarts.rs
+++ b/crates/proxy/tests/restarts.rs
@@ -154,3 +154,42 @@
         assert_eq!(client.line(), "+PONG", "reset: {reset}");
     }
 }
+
+/// A watch falls silent: it is begun anew well before what it misses counts as told, 2 s after its wait, and what the old
+/// call says after all is taken only if it is newer than what is known by then.
+#[test]
+fn a_watch_that_has_fallen_silent_is_begun_anew_before_its_news_count_as_told() {
+    for late_one_is_newer in [false, true] {
+        let (nodes, discovery) = (Server::many(2), Server::start());
+        let proxy = Proxy::with(&nodes, |c| {
+            *c = config(&nodes.addresses[..1]);
+            subscribed(c, &discovery);
+        });
+        let mut begin = discovery.accept();
+        begin.request();
+        begin.list(&list(41, false, &[]));
+        let mut silent = discovery.accept();
+        assert_eq!(silent.request(), "/catalog/members?since=41&timeout_ms=10000");
+        let asked = Instant::now();
+        let mut anew = discovery.accept();
+        assert_eq!(anew.request(), "/catalog/members?since=41&timeout_ms=0");
+        let after = asked.elapsed();
+        assert!((10_000..11_500).contains(&after.as_millis()), "begun anew after {after:?}");
+        let moved = [host("s-0", nodes.addresses[0], "removed"), host("s-1", nodes.addresses[1], "up")];
+        let mut client = proxy.client();
+        if late_one_is_newer {
+            silent.list(&list(42, false, &moved));
+            assert!(silent.rest().is_empty());
+            is_served_at(&mut client, &nodes, 1, 1);
+            anew.list(&list(42, false, &moved));
+        } else {
+            anew.list(&list(43, false, &moved));
+            assert!(discovery.accept().request().starts_with("/catalog/members?since=43&"));
+            silent.offers(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{\"seq\":42,\"whole\":true,\"hosts\":[]}",
+            );
+            assert!(silent.rest().is_empty());
+        }
+        is_served_at(&mut client, &nodes, 2, 1);
+    }
+}
