Read again: one reader for calls to discovery, one file of results, twins in tests merged

A silent call of discovery was driven and read by lines of its own beside those of the others: Call::told serves both, and when a watch has fallen silent follows from its deadline instead of a field. The campaign kept its JSON Lines by its own code: results::Book holds any Line now, and a play that can't be written as text is told instead of left out. What was learned of rests is kept by Rest::keeping, beside the other rules on them. The model noted an attempt's connection in two places; its events are one a line again. An HTTP answer and a write's receipt stood in several test files: testkit has them.

--- a/crates/lab/src/campaign.rs
+++ b/crates/lab/src/campaign.rs
@@ -3,13 +3,12 @@
 //! checkout that is measured; what came of a play is read from the entry that it leaves in `journal/`, whose name it
 //! prints last (`snapshot ID`).
 
+use crate::results::{Book, Line};
 use crate::Failure;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
-use std::fs::OpenOptions;
-use std::io::Write as _;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::Command;
 use std::sync::Mutex;
 
@@ -85,6 +84,8 @@
     pub snapshot: String,
 }
 
+impl Line for Play {}
+
 /// The parts of an entry of the journal that are read.
 #[derive(Debug, Deserialize)]
 struct Entry {
@@ -143,6 +144,15 @@
     pairs.collect()
 }
 
+/// How far a campaign is.
+struct Progress {
+    /// What is still to be played, the next one last.
+    tasks: Vec<Task>,
+    book: Book,
+    plays: Vec<Play>,
+    failed: Vec<String>,
+}
+
 /// One play, still to be done.
 #[derive(Clone, Debug)]
 struct Task {
@@ -212,22 +222,6 @@
     })
 }
 
-/// Plays that are in the file already, and whether its last line was torn off.
-fn done(path: &Path) -> Result<(Vec<Play>, String), Failure> {
-    let text = match std::fs::read_to_string(path) {
-        Ok(text) => text,
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound => String::new(),
-        Err(e) => return Err(Failure::io("can't be read", path, e)),
-    };
-    let whole = text.rfind('\n').map_or("", |end| &text[..=end]);
-    let line = |(i, line): (usize, &str)| {
-        let at = |e| Failure::Input(vec![format!("{}: line {}: {e}", path.display(), i + 1)]);
-        serde_json::from_str(line).map_err(at)
-    };
-    let plays: Result<Vec<Play>, Failure> = whole.lines().enumerate().map(line).collect();
-    Ok((plays?, whole.to_owned()))
-}
-
 /// Two sides of a day differ beyond noise: each was played twice or more, and no score of one lies among the other's.
 fn differ(here: &[f64], there: &[f64]) -> bool {
     let least = |all: &[f64]| all.iter().copied().fold(f64::INFINITY, f64::min);
@@ -302,8 +296,7 @@
     if !bad.is_empty() {
         return Err(Failure::Input(bad));
     }
-    let (plays, whole) = done(&args.out)?;
-    std::fs::write(&args.out, &whole).map_err(|e| Failure::io("can't be written", &args.out, e))?;
+    let (book, plays) = Book::open::<Play>(&args.out)?;
     let mut tasks = Vec::new();
     for play in 1..=args.plays {
         for seed in &args.seeds {
@@ -321,31 +314,29 @@
         }
     }
     tasks.reverse();
-    let file = OpenOptions::new().append(true).open(&args.out);
-    let file = file.map_err(|e| Failure::io("can't be opened", &args.out, e))?;
-    let shared = Mutex::new((tasks, file, plays, Vec::new()));
+    let shared = Mutex::new(Progress { tasks, book, plays, failed: Vec::new() });
     let lock = || shared.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     std::thread::scope(|scope| {
         for _ in 0..args.lanes {
             scope.spawn(|| loop {
-                let Some(task) = lock().0.pop() else { return };
+                let Some(task) = lock().tasks.pop() else { return };
                 let came = play(args, &task);
                 let mut all = lock();
                 match came {
                     Ok(play) => {
                         eprintln!("{} {} ({}): {:.2}", play.kind, play.seed, play.side, play.score);
-                        let line = serde_json::to_string(&play).unwrap_or_default() + "\n";
-                        if let Err(e) = all.1.write_all(line.as_bytes()) {
-                            all.3.push(format!("{}: {e}", args.out.display()));
+                        if let Err(e) = all.book.add(&play) {
+                            all.failed.push(e.to_string());
                         }
-                        all.2.push(play);
+                        all.plays.push(play);
                     }
-                    Err(e) => all.3.push(e),
+                    Err(e) => all.failed.push(e),
                 }
             });
         }
     });
-    let (_, _, plays, failed) = shared.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let Progress { plays, failed, .. } =
+        shared.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
     print!("{}", table(&plays));
     if !failed.is_empty() {
         return Err(Failure::Input(failed));
--- a/crates/lab/src/results.rs
+++ b/crates/lab/src/results.rs
@@ -2,6 +2,7 @@
 
 use crate::Failure;
 use model::{Summary, SCHEMA};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
@@ -21,6 +22,28 @@
     pub summary: Summary,
 }
 
+/// What a file of results holds, one a line.
+pub trait Line: Serialize + DeserializeOwned {
+    /// Looks at one that was read.
+    ///
+    /// # Errors
+    /// It is of another version than this program reads.
+    fn check(&self) -> Result<(), String> {
+        Ok(())
+    }
+}
+
+impl Line for Record {
+    fn check(&self) -> Result<(), String> {
+        let other = self.schema != SCHEMA;
+        if other {
+            Err(format!("has schema {}, this program reads {SCHEMA}", self.schema))
+        } else {
+            Ok(())
+        }
+    }
+}
+
 /// Reads a file of results. A last line without its end is left out: whoever wrote it was stopped there.
 ///
 /// # Errors
@@ -29,19 +52,17 @@
     let mut text = String::new();
     let mut file = File::open(path).map_err(|e| Failure::io("can't be read", path, e))?;
     file.read_to_string(&mut text).map_err(|e| Failure::io("can't be read", path, e))?;
-    records(path, &text)
+    lines(path, &text)
 }
 
-fn records(path: &Path, text: &str) -> Result<Vec<Record>, Failure> {
+fn lines<T: Line>(path: &Path, text: &str) -> Result<Vec<T>, Failure> {
     let whole = text.rfind('\n').map_or("", |end| &text[..end]);
     let mut all = Vec::new();
     for (i, line) in whole.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
         let at = |e: String| Failure::Input(vec![format!("{}: line {}: {e}", path.display(), i + 1)]);
-        let record: Record = serde_json::from_str(line).map_err(|e| at(e.to_string()))?;
-        if record.schema != SCHEMA {
-            return Err(at(format!("has schema {}, this program reads {SCHEMA}", record.schema)));
-        }
-        all.push(record);
+        let one: T = serde_json::from_str(line).map_err(|e| at(e.to_string()))?;
+        one.check().map_err(at)?;
+        all.push(one);
     }
     Ok(all)
 }
@@ -57,7 +78,7 @@
     ///
     /// # Errors
     /// It can't be read or written.
-    pub fn open(path: &Path) -> Result<(Book, Vec<Record>), Failure> {
+    pub fn open<T: Line>(path: &Path) -> Result<(Book, Vec<T>), Failure> {
         let fault = |e| Failure::io("can't be opened", path, e);
         let mut file = OpenOptions::new()
             .create(true)
@@ -73,15 +94,15 @@
         file.seek(std::io::SeekFrom::End(0)).map_err(fault)?;
         let text =
             String::from_utf8(bytes[..whole].to_vec()).map_err(|e| Failure::io("is no text", path, e))?;
-        Ok((Book { file }, records(path, &text)?))
+        Ok((Book { file }, lines(path, &text)?))
     }
 
     /// Adds a run, in one write.
     ///
     /// # Errors
     /// It can't be written.
-    pub fn add(&mut self, record: &Record) -> Result<(), Failure> {
-        let mut line = serde_json::to_vec(record).map_err(|e| Failure::Io(e.to_string()))?;
+    pub fn add(&mut self, one: &impl Line) -> Result<(), Failure> {
+        let mut line = serde_json::to_vec(one).map_err(|e| Failure::Io(e.to_string()))?;
         line.push(b'\n');
         self.file.write_all(&line).map_err(|e| Failure::Io(format!("the results can't be written: {e}")))
     }
--- a/crates/lab/src/sweep.rs
+++ b/crates/lab/src/sweep.rs
@@ -181,7 +181,7 @@
         std::fs::read_to_string(&args.file).map_err(|e| Failure::io("can't be read", &args.file, e))?;
     let plan = Plan::read(&args.file, &text)?;
     std::fs::create_dir_all(&args.out).map_err(|e| Failure::io("can't be made", &args.out, e))?;
-    let (book, done) = Book::open(&args.out.join("results.jsonl"))?;
+    let (book, done) = Book::open::<Record>(&args.out.join("results.jsonl"))?;
     let done: HashSet<String> = done.into_iter().map(|r| r.key).collect();
     let runs = plan.runs();
     let left: Vec<&Run<'_>> = runs.iter().filter(|r| !done.contains(&r.key)).collect();
--- a/crates/model/src/host.rs
+++ b/crates/model/src/host.rs
@@ -136,6 +136,14 @@
         }
     }
 
+    /// Notes the connection that an attempt is on.
+    fn goes_by(&mut self, job: &Waiting, connection: Option<usize>) {
+        let out = self.open.get_mut(&job.id).and_then(|o| o.out.iter_mut().find(|a| a.number == job.number));
+        if let Some(out) = out {
+            out.connection = connection;
+        }
+    }
+
     /// All that its process held is gone; what clients wait for.
     pub fn dies(&mut self, rest: Rest) -> (Vec<Open>, Vec<usize>) {
         self.alive = false;
@@ -285,9 +293,7 @@
         let (proxy, at, jobs) = (c.proxy, c.to, c.pipe.strand());
         self.close(key);
         for job in jobs {
-            let out = self.hosts[proxy].open.get_mut(&job.id);
-            let out = out.and_then(|o| o.out.iter_mut().find(|a| a.number == job.number));
-            out.into_iter().for_each(|out| out.connection = None);
+            self.hosts[proxy].goes_by(&job, None);
             self.go_by_some(proxy, at, job);
         }
     }
@@ -295,11 +301,7 @@
     /// Puts an attempt on a connection.
     fn put(&mut self, key: usize, job: Waiting) {
         let Some(c) = &mut self.connections[key] else { return };
-        let out = self.hosts[c.proxy].open.get_mut(&job.id);
-        let out = out.and_then(|o| o.out.iter_mut().find(|a| a.number == job.number));
-        if let Some(out) = out {
-            out.connection = Some(key);
-        }
+        self.hosts[c.proxy].goes_by(&job, Some(key));
         c.pipe.push(job);
         let (serial, ready) = (c.serial, c.ready);
         if c.up && ready > self.now {
@@ -540,7 +542,7 @@
         self.flush(key);
     }
 
-    /// An answer has come by a connection, or two in one segment.
+    /// An answer has come by a connection, and perhaps more in one segment with it.
     pub(crate) fn replied(&mut self, key: usize, answer: Answer, more: Option<Answer>) {
         let Answer { status, hit, made_for } = answer;
         let Some(c) = &mut self.connections[key] else { return };
--- a/crates/model/tests/runs.rs
+++ b/crates/model/tests/runs.rs
@@ -139,7 +139,8 @@
         [traffic.write]\naim_ms = 4000\nwait_ms = 4000\ndeadline_ms = 4000";
     let drain = "[[faults]]\nat_s = 3\nkind = 'drain'\nboxes = 0.5";
     // One at a time over so few connections, not even a flood pushes a box over.
-    let grow = "[topology]\ndepth = 8\n[[kinds]]\nname = 'cold'\ncold_from = 0.1\n[[faults]]\nat_s = 3\nkind = 'grow'\ntimes = 1.2";
+    let grow = "[topology]\ndepth = 8\n[[kinds]]\nname = 'cold'\ncold_from = 0.1\n\
+        [[faults]]\nat_s = 3\nkind = 'grow'\ntimes = 1.2";
     for (text, how, rule) in [
         (slow, How::RepeatsWrites, Rule::Doubled),
         (drain, How::IgnoresDrains, Rule::Drain),
--- a/crates/pipeline/src/rest.rs
+++ b/crates/pipeline/src/rest.rs
@@ -35,6 +35,15 @@
         self.span
     }
 
+    /// The same, as long at the least as what was learned before under another configuration; none stays none.
+    pub fn keeping(self, learned: Rest) -> Rest {
+        if self == Rest::NONE {
+            self
+        } else {
+            Rest { span: self.span.max(learned.span) }
+        }
+    }
+
     /// Something too much came so long after the answer, while nothing was out.
     pub fn surplus(&mut self, after: Nanos) {
         if self.span > 0 && after <= Rest::MOST {
@@ -63,7 +72,10 @@
         assert_eq!(rest.span(), 10 * MS);
         rest.surplus(Rest::MOST);
         assert_eq!(rest.span(), Rest::MOST);
-        // Switched off, it stays off.
+        // Another configuration keeps what was learned. Switched off, it stays off.
+        assert_eq!(Rest::new(None).keeping(rest), rest);
+        assert_eq!(Rest::new(None).keeping(Rest::NONE), Rest::new(None));
+        assert_eq!(Rest::NONE.keeping(rest), Rest::NONE);
         let mut none = Rest::NONE;
         none.surplus(20 * MS);
         assert_eq!(none.span(), 0);
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -255,11 +255,9 @@
         let share = NODE_CONNECTIONS / config.settings.proxies.max(1) as usize;
         self.per_node = share.clamp(1, MOST_CONNECTIONS);
         // What can't hold with it has been refused before. What was learned of rests is kept.
-        let rest = self.pipes.rest;
+        let learned = self.pipes.rest;
         self.pipes = pipes(&self.told, config).unwrap_or(self.pipes);
-        if rest.span() > self.pipes.rest.span() && self.pipes.rest != Rest::NONE {
-            self.pipes.rest = rest;
-        }
+        self.pipes.rest = self.pipes.rest.keeping(learned);
         self.stated = (config.idle as f64 * IDLE_PART) as Nanos;
         self.fresh = self.rests.fresh(self.stated);
     }
@@ -1003,6 +1001,9 @@
         boxes
     }
 
+    /// A whole answer of a node.
+    const ANSWER: &[u8] = b"*3\r\n$1\r\nx\r\n$-1\r\n$-1\r\n";
+
     fn job(config: &Config) -> Job {
         Job { id: 1, attempt: 0, query: query(config), aim: 9_000 * MS, until: 9_000 * MS }
     }
@@ -1051,7 +1052,7 @@
                 waits();
                 boxes.ready(key, false, &mut [0; 64], MS);
             }
-            node.write_all(b"*3\r\n$1\r\nx\r\n$-1\r\n$-1\r\n").expect("written");
+            node.write_all(ANSWER).expect("written");
             while !matches!(boxes.news(), Some(News::Served(1, 0, ..))) {
                 waits();
                 boxes.ready(key, false, &mut [0; 64], 2 * MS);
@@ -1060,7 +1061,7 @@
             assert!(matches!(boxes.send(7, again, 3 * MS), Some((same, None)) if same == key));
             assert_eq!((boxes.due(), boxes.write(6 * MS), boxes.written), (Some(7 * MS), false, 1));
             if surplus {
-                node.write_all(b"*3\r\n$1\r\nx\r\n$-1\r\n$-1\r\n").expect("written");
+                node.write_all(ANSWER).expect("written");
                 while boxes.nodes[&7].counts.surplus == 0 {
                     waits();
                     boxes.ready(key, false, &mut [0; 64], 6 * MS);
@@ -1089,7 +1090,7 @@
         }
         let (slow, new) = boxes.send(7, Job { attempt: 1, ..job(&sample()) }, MS).expect("another");
         assert!(new.is_some() && slow != up);
-        node.write_all(b"*3\r\n$1\r\nx\r\n$-1\r\n$-1\r\n").expect("written");
+        node.write_all(ANSWER).expect("written");
         while boxes.all[up].depth() > 0 && begun.elapsed() < Duration::from_secs(20) {
             boxes.ready(up, false, &mut [0; 64], 2 * MS);
             if matches!(boxes.news(), Some(News::Served(1, 0, ..))) {
--- a/crates/proxy/src/platform/discovery.rs
+++ b/crates/proxy/src/platform/discovery.rs
@@ -184,8 +184,6 @@
     out: Vec<u8>,
     written: usize,
     deadline: Nanos,
-    /// The watch is begun anew then, if this one has said nothing.
-    anew: Option<Nanos>,
     framing: Framing,
     /// Input not yet understood: a head, or a chunk's size.
     pending: Vec<u8>,
@@ -266,7 +264,6 @@
             out: out.into_bytes(),
             written: 0,
             deadline: now + wait + patience,
-            anew: (purpose == Purpose::Follow).then_some(now + wait + SILENT),
             framing: Framing::Head,
             pending: Vec::new(),
             body: Vec::new(),
@@ -279,16 +276,8 @@
             return self.silent_ready(now);
         }
         let slot = if token == self.tokens[0] { &mut self.watch } else { &mut self.fetch };
-        let call = slot.as_mut()?;
-        let purpose = call.purpose;
-        let read = match call.drive() {
-            Ok(false) => return None,
-            Ok(true) => serde_json::from_slice(&call.body).map_err(|_| ListError::Json),
-            Err(e) => Err(e),
-        };
-        *slot = None;
-        let news = read.and_then(|json| read_list(&json, &self.names)).and_then(|n| self.in_order(n));
-        let news = match news {
+        let purpose = slot.as_ref()?.purpose;
+        let news = match Call::told(slot, &self.names)?.and_then(|n| self.in_order(n)) {
             Ok(news) => news,
             Err(e) => return Some(Answer::Failed(e)),
         };
@@ -308,13 +297,7 @@
     /// What a call says that had fallen silent: it counts as told, so it is taken, unless more is known by now. That it
     /// fails or ends is no news.
     fn silent_ready(&mut self, now: Nanos) -> Option<Answer> {
-        let read = match self.silent.as_mut()?.drive() {
-            Ok(false) => return None,
-            Ok(true) => self.silent.take().and_then(|c| serde_json::from_slice(&c.body).ok()),
-            Err(_) => None,
-        };
-        self.silent = None;
-        let news = read_list(&read?, &self.names).ok()?;
+        let news = Call::told(&mut self.silent, &self.names)?.ok()?;
         if self.version.is_some_and(|known| news.version <= known) {
             return None;
         }
@@ -336,27 +319,23 @@
         }
     }
 
+    /// Begins the watch anew if it has fallen silent; its old call is kept.
     fn begin_anew(&mut self, registry: &Registry, now: Nanos) -> Result<(), ListError> {
-        let mut silent = self.watch.take();
-        if let Some(call) = &mut silent {
-            let both = Interest::READABLE | Interest::WRITABLE;
-            let kept = registry.reregister(&mut call.stream, self.tokens[2], both);
-            kept.map_err(|_| ListError::Http("connection lost"))?;
-        }
-        self.silent = silent;
+        let Some(mut silent) = self.watch.take_if(|c| c.is_silent(now)) else { return Ok(()) };
+        let both = Interest::READABLE | Interest::WRITABLE;
+        let kept = registry.reregister(&mut silent.stream, self.tokens[2], both);
+        kept.map_err(|_| ListError::Http("connection lost"))?;
+        self.silent = Some(silent);
         self.watch = Some(self.call(registry, Purpose::Begin, now)?);
         Ok(())
     }
 
-    /// Begins a watch anew that has fallen silent, and ends what has waited too long. Danger: a discovery that is cut off says nothing at all.
+    /// Begins a watch anew that has fallen silent, and ends what has waited too long. Danger: a discovery that is cut
+    /// off says nothing at all.
     pub fn sweep(&mut self, registry: &Registry, now: Nanos) -> Option<Answer> {
-        if self.silent.as_ref().is_some_and(|c| c.deadline <= now) {
-            self.silent = None;
-        }
-        if self.watch.as_ref().is_some_and(|c| c.anew.is_some_and(|at| at <= now)) {
-            if let Err(e) = self.begin_anew(registry, now) {
-                return Some(Answer::Failed(e));
-            }
+        self.silent.take_if(|c| c.deadline <= now);
+        if let Err(e) = self.begin_anew(registry, now) {
+            return Some(Answer::Failed(e));
         }
         let mut over = false;
         for slot in [&mut self.watch, &mut self.fetch] {
@@ -370,6 +349,23 @@
 }
 
 impl Call {
+    /// It waits for news, and has said nothing for [`SILENT`] after its wait.
+    fn is_silent(&self, now: Nanos) -> bool {
+        self.purpose == Purpose::Follow && self.deadline - PATIENCE + SILENT <= now
+    }
+
+    /// Drives the call that is there; once it is over, it is gone, and what it told is given.
+    fn told(slot: &mut Option<Call>, names: &Names) -> Option<Result<News, ListError>> {
+        let call = slot.as_mut()?;
+        let read = match call.drive() {
+            Ok(false) => return None,
+            Ok(true) => serde_json::from_slice(&call.body).map_err(|_| ListError::Json),
+            Err(e) => Err(e),
+        };
+        *slot = None;
+        Some(read.and_then(|json| read_list(&json, names)))
+    }
+
     /// Writes and reads what it can; true once the body is whole.
     fn drive(&mut self) -> Result<bool, ListError> {
         let lost = ListError::Http("connection lost");
--- a/crates/proxy/tests/addresses.rs
+++ b/crates/proxy/tests/addresses.rs
@@ -11,8 +11,6 @@
 use testkit::process::Folder;
 use testkit::scripted::*;
 
-const RECEIPT: &str = "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
-
 /// A node's entry with these addresses.
 fn entry(name: &str, dials: &[String]) -> Value {
     let mut entry = host(name, nobody(), "up");
--- a/crates/proxy/tests/pipeline.rs
+++ b/crates/proxy/tests/pipeline.rs
@@ -11,7 +11,6 @@
 use testkit::controller::Controller;
 use testkit::scripted::*;
 
-const RECEIPT: &str = "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
 const PUSH: &str = ">2\r\n+invalidate\r\n*1\r\n$1\r\nk\r\n";
 const HELLO: &str = "%3\r\n+server\r\n+box\r\n+proto\r\n:3\r\n+modules\r\n*0\r\n";
 
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -5,9 +5,6 @@
 use std::io::Read;
 use testkit::scripted::*;
 
-/// A write's receipt.
-const RECEIPT: &str = "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
-
 /// Starts a proxy that sends a request twice at the most.
 fn twice(nodes: &Server) -> Proxy {
     Proxy::with(nodes, |c| c["settings"]["caps"]["attempts_cap"] = json!(2))
@@ -493,14 +490,13 @@
         subscribed(c, &discovery);
     });
     let odd = list(99, true, &[host("s-0", node.addresses[0], "odd")]).to_string();
-    let whole = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
     for answer in [
         "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_owned(),
         "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{\"seq\":".to_owned(),
-        whole("{\"seq\": nonsense"),
-        whole(&odd),
+        http("{\"seq\": nonsense"),
+        http(&odd),
         "no HTTP at all\r\n\r\n".to_owned(),
-        whole(&format!("{{\"seq\":99,\"whole\":true,\"hosts\":[]{}}}", " ".repeat(1 << 20))),
+        http(&format!("{{\"seq\":99,\"whole\":true,\"hosts\":[]{}}}", " ".repeat(1 << 20))),
     ] {
         let mut call = discovery.accept();
         // What could not be understood moved nothing on.
--- a/crates/proxy/tests/restarts.rs
+++ b/crates/proxy/tests/restarts.rs
@@ -6,10 +6,9 @@
 
 /// The first half of discovery's answer with this list, and the rest of it.
 fn halves(told: &Value) -> (Vec<u8>, Vec<u8>) {
-    let body = told.to_string();
-    let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes();
-    let rest = whole[whole.len() / 2..].to_vec();
-    (whole[..whole.len() / 2].to_vec(), rest)
+    let mut whole = http(&told.to_string()).into_bytes();
+    let rest = whole.split_off(whole.len() / 2);
+    (whole, rest)
 }
 
 /// A read that a node of this place answers.
@@ -144,7 +143,7 @@
         assert_eq!((&second[0], &second[1], &second[4]), (&first[0], &first[1], &first[4]));
         let key = |command: &[String]| command[3].split(',').find(|f| f.starts_with("k=")).map(str::to_owned);
         assert_eq!((key(&second), key(&second).is_some()), (key(&first), true), "reset: {reset}");
-        at_second.send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+        at_second.send(RECEIPT);
         assert_eq!(client.command()[0], "ok", "reset: {reset}");
         // The first node answers after all: nobody gets that.
         silent.into_iter().for_each(|mut peer| {
@@ -185,9 +184,7 @@
         } else {
             anew.list(&list(43, false, &moved));
             assert!(discovery.accept().request().starts_with("/catalog/members?since=43&"));
-            silent.offers(
-                b"HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n{\"seq\":42,\"whole\":true,\"hosts\":[]}",
-            );
+            silent.offers(http(&list(42, true, &[]).to_string()));
             assert!(silent.rest().is_empty());
         }
         is_served_at(&mut client, &nodes, 2, 1);
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -128,7 +128,7 @@
 
     /// Connects.
     pub fn connect(address: SocketAddr) -> Peer {
-        Peer::new(TcpStream::connect(address).expect("connected"))
+        Peer::reaches(address).expect("connected")
     }
 
     /// Connects, if the other end lets it: one that is down may reset a connection that is just coming up.
@@ -249,8 +249,7 @@
 
     /// Answers the list of discovery that was asked for on this connection.
     pub fn list(&mut self, list: &Value) {
-        let body = list.to_string();
-        self.send(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+        self.send(http(&list.to_string()));
     }
 
     /// The target of the next HTTP request.
@@ -292,6 +291,14 @@
     out.into_bytes()
 }
 
+/// An HTTP answer with this body.
+pub fn http(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A cache node's answer to a write.
+pub const RECEIPT: &str = "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
+
 /// A cache node's answer to a read that hit.
 pub fn hit(value: &str) -> Vec<u8> {
     format!("*3\r\n${}\r\n{value}\r\n$3\r\nhit\r\n$-1\r\n", value.len()).into_bytes()
