Write no attempt once its client has been gone for 50 ms

Cause: client_half_closed started no further attempt but left open ones alone, also those of which nothing was written: queued on a connection that is not up yet, behind another command, or in a settle delay. They were written when the connection was ready.

Change: the query carries the time from which on it may not be written, and the check where a command enters a batch reads it, so it holds for queued, moved and hedged attempts; a timer ends what is unwritten then as "not sent". Ending unwritten attempts in the moment of the close would fail clients that send a request together with the end of their stream and read the answer, which an existing test asks for.

--- a/crates/proxy/src/boxes/write.rs
+++ b/crates/proxy/src/boxes/write.rs
@@ -2,7 +2,9 @@
 //! enters the batch.
 
 use super::connection::Connection;
-use super::{Boxes, NodeEvent, MAX_IDLE_BUFFER_BYTES, MS};
+use super::node::Node;
+use super::{Boxes, NodeEvent, QueuedAttempt, MAX_IDLE_BUFFER_BYTES, MS};
+use addresses::AddressId;
 use calicosaddle::api::{Nanos, Status};
 use resp::{HelloReplyParser, Reply};
 use std::io::{self, IoSlice, Write};
@@ -30,6 +32,22 @@
     }
 }
 
+/// The outcome of an attempt that must not be written any more. While it waited, its node may have begun to drain or
+/// changed its address, its client may have left, or its deadline may have passed.
+fn outcome_instead_of_sending(
+    queued: &QueuedAttempt,
+    node: Option<&Node>,
+    address: AddressId,
+    now: Nanos,
+) -> Option<Status> {
+    let Some(node) = node.filter(|n| n.accepts_work()) else { return Some(Status::NotSent) };
+    if queued.query.send_until.get() <= now {
+        return Some(Status::NotSent);
+    }
+    let is_listed = node.addresses.address(address).is_some();
+    (!is_listed || queued.deadline <= now).then_some(Status::ConnectFailed)
+}
+
 impl Boxes {
     /// When the next write is due: at the end of the operator's batch delay or of the first settle delay.
     pub fn next_write_at(&self) -> Option<Nanos> {
@@ -158,12 +176,7 @@
         {
             let Some(queued) = c.pipeline.pop_queued() else { break };
             let node = self.nodes.get_mut(&c.server);
-            let accepts_work = node.as_ref().is_some_and(|n| n.accepts_work());
-            let listed = node.as_ref().is_some_and(|n| n.addresses.address(c.link.address).is_some());
-            // While the attempt waited, its node may have begun to drain or changed its address, or its deadline may
-            // have passed.
-            if !accepts_work || !listed || queued.deadline <= now {
-                let status = if accepts_work { Status::ConnectFailed } else { Status::NotSent };
+            if let Some(status) = outcome_instead_of_sending(&queued, node.as_deref(), c.link.address, now) {
                 self.events.push_back(NodeEvent::Ended(queued.id, queued.attempt, status, Reply::default()));
                 continue;
             }
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -5,7 +5,7 @@
 use crate::front::clients;
 use crate::gates::Verdict;
 use crate::observers::{FinalResult, Notification};
-use crate::request::{Answer, Query, ReplySlot};
+use crate::request::{Answer, Query, ReplySlot, HALF_CLOSE_GRACE};
 use crate::timers::TimerEvent;
 use crate::{Proxy, MS};
 use calicosaddle::api::*;
@@ -241,10 +241,28 @@
     }
 
     /// Handles a client that has shut down its sending side. It may still be waiting for the answer, or may have
-    /// abandoned the request. Open attempts are therefore left to finish, and no further one is sent.
+    /// abandoned the request. Attempts that are written within [`HALF_CLOSE_GRACE`] are therefore left to finish, and no
+    /// further one is sent.
     fn client_half_closed(&mut self, id: RequestId) {
-        if self.requests.mark_half_closed(id) {
-            self.pending_events.push_back(Event::Abandoned(id));
+        let send_until = self.event_loop.now + HALF_CLOSE_GRACE;
+        if !self.requests.mark_half_closed(id, send_until) {
+            return;
+        }
+        self.pending_events.push_back(Event::Abandoned(id));
+        if self.requests.is_orphaned(id) {
+            self.answer(id, Answer::Failed, FinalResult::Failed);
+        } else {
+            self.event_loop.timers.set(send_until, TimerEvent::HalfCloseGrace(id));
+        }
+    }
+
+    /// Ends the attempts that are not written completely, at the end of [`HALF_CLOSE_GRACE`].
+    pub(crate) fn end_unwritten_attempts(&mut self, id: RequestId) {
+        for number in self.requests.open_attempts(id) {
+            let connection = self.requests.attempt(id, number).and_then(|a| a.connection);
+            if !connection.is_some_and(|key| self.boxes.is_written(key, id, number)) {
+                self.end_attempt(id, number, Status::NotSent);
+            }
         }
     }
 
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -5,7 +5,7 @@
 use calicosaddle::api::{server_id, Nanos, Request, RequestId, RetrySafety, ServerId};
 use resp::{Command, Protocol, Reply};
 use rustc_hash::FxHashMap;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::io::Write;
 use std::ops::Range;
@@ -15,6 +15,10 @@
 /// The proxy answers this long before the client's time is up (a tenth of it where that is less), so that the answer is
 /// in time even if the event loop is delayed.
 const ANSWER_MARGIN: Nanos = 10 * MS;
+/// How long after its client has shut down its sending side an open attempt of a request may still be written: long
+/// enough for a request that arrives together with the end of the stream. Attempts that begin 100 ms after the close
+/// count as sent for a client that has gone.
+pub const HALF_CLOSE_GRACE: Nanos = 50 * MS;
 /// The longest key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 /// The longest request id, in bytes.
@@ -42,6 +46,8 @@
     pub is_retry: bool,
     /// For a write: the nodes and addresses to which its last byte was written, and which may have received it.
     pub sent_via: RefCell<Vec<(ServerId, addresses::AddressId)>>,
+    /// No attempt is written from this time on. It is set when the client shuts down its sending side.
+    pub send_until: Cell<Nanos>,
 }
 
 /// The fields of a command's fourth argument, `name=value` separated by commas.
@@ -129,6 +135,7 @@
             expected_work,
             is_retry,
             sent_via,
+            send_until: Cell::new(Nanos::MAX),
             command,
         })
     }
@@ -359,11 +366,13 @@
         self.open.get(&id).is_some_and(|o| !o.answered)
     }
 
-    /// Records that the client has shut down its sending side, so that no attempt is sent for the request. Returns
-    /// false if the request is already answered or not open.
-    pub fn mark_half_closed(&mut self, id: RequestId) -> bool {
-        let open = self.open.get_mut(&id).filter(|o| !o.answered);
-        open.map(|o| o.client_half_closed = true).is_some()
+    /// Records that the client has shut down its sending side, so that no further attempt is started for the request and
+    /// open ones are only written before `send_until`. Returns false if the request is already answered or not open.
+    pub fn mark_half_closed(&mut self, id: RequestId, send_until: Nanos) -> bool {
+        let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return false };
+        open.client_half_closed = true;
+        open.query.send_until.set(send_until);
+        true
     }
 
     /// True if the request is unanswered, its client has shut down its sending side, and no attempt is open that
@@ -417,7 +426,7 @@
         assert_eq!(table.attempt(1, 0).and_then(|a| a.connection), Some(5));
         assert_eq!(table.mark_answered(1), Some((slot, 0)));
         assert_eq!(table.mark_answered(1), None);
-        assert!(!table.mark_half_closed(1) && !table.is_unanswered(1) && !table.is_orphaned(1));
+        assert!(!table.mark_half_closed(1, 60 * MS) && !table.is_unanswered(1) && !table.is_orphaned(1));
         assert!(table.start_attempt(1, 7, 2, MS).is_some_and(|a| a.must_not_send));
         table.retire(1);
         assert_eq!((table.len(), table.unanswered(), table.open_attempts(1)), (1, 0, vec![0, 1]));
@@ -438,7 +447,7 @@
         let start = |max_attempts: u32, now: Nanos, left: bool| {
             let mut table = RequestTable::default();
             table.insert(1, slot, query(&config), 0, 0).expect("accepted");
-            assert!(!left || table.mark_half_closed(1));
+            assert!(!left || table.mark_half_closed(1, 50 * MS));
             let must_not_send = table.start_attempt(1, 7, max_attempts, now).expect("started").must_not_send;
             assert!(!table.is_orphaned(1) && table.end_attempt(1, 0).is_some());
             (must_not_send, table.is_orphaned(1))
--- a/crates/proxy/src/timers.rs
+++ b/crates/proxy/src/timers.rs
@@ -11,6 +11,8 @@
     Balancer(u64),
     /// The deadline of a request has passed.
     RequestDeadline(RequestId),
+    /// The client of a request shut down its sending side [`crate::request::HALF_CLOSE_GRACE`] ago.
+    HalfCloseGrace(RequestId),
     /// An attempt's own time-out, shorter than the request's deadline.
     AttemptTimeout(RequestId, u32),
     /// A connection to a cache node, by its key and serial number, must be established by now.
