Ask for the list within 3.5 s of a start, in slots, and within 3.5 s of a failure

Cause: a process that starts spread its first call over n/50 s, 6 s with 300 proxies and 8 s with more, though its list may be of any age and a removal counts 6 s after discovery had it. Backoff after failures had the same length, longer than the 6 s from discovery's return.

Change: proxy i of n calls after i/n of n/100 s, 3.5 s at the most. Slots in place of chance halve the time at the same peak rate. The fleets of the tests now give each scheduler its index; their bounds (110 and 150 calls a second, three calls each) stand and hold.

Open: a process that was away longer than about 3 s can still be late (docs/design/freshness.md).

--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -12,6 +12,8 @@
 //! | --- | --- | --- |
 //! | either | a call stopped answering | 6 s after it began, or 2 s after its wait if that is later |
 //! | either | discovery has moved (SIGHUP) | 4 s after the signal |
+//! | polled | no call has been answered since the start | 6 s after discovery had it, at the latest: the list that a process starts with is of unknown age |
+//! | polled | a call failed | 6 s after discovery had it and could be reached, at the latest |
 //! | polled | no watch is open | once the settings' maximum poll interval has passed since the last call, four times that if the call failed |
 //! | pushed | no watch is open, or the process has just started | at once: the agent on this machine has it |
 
@@ -29,6 +31,8 @@
 const NOTIFIED_AFTER_SILENT_CALL: Nanos = 6 * SECOND;
 /// ... or this long after the end of its wait, if that is later.
 const NOTIFIED_AFTER_WAIT: Nanos = 2 * SECOND;
+/// What discovery has counts as notified this long after it could be reached, whatever failed before.
+const NOTIFIED_AFTER_REACHABLE: Nanos = 6 * SECOND;
 /// The updates of a discovery that has moved count as notified this long after SIGHUP.
 const NOTIFIED_AFTER_MOVE: Nanos = 4 * SECOND;
 /// How long a watch waits for an update where one discovery serves all proxies: a long wait saves it calls.
@@ -41,18 +45,24 @@
 const QUEUED_CALL_TIMEOUT: Nanos = 2_200 * MS;
 /// The shortest time between two calls where one discovery serves all proxies.
 const MIN_CALL_INTERVAL: Nanos = 200 * MS;
-/// The planned rate of calls of all proxies together at one discovery, for when most of them start at once.
-const FLEET_CALLS_PER_SECOND: u64 = 50;
-/// The shortest period over which the calls of all proxies are spread.
-const MIN_FLEET_SPREAD: Nanos = 400 * MS;
-/// The least part of the spread period, and of a backoff, that a random delay takes.
-const MIN_SPREAD_PART: f64 = 0.2;
+/// The rate of calls of all proxies together at one discovery, when they start or fail at once.
+const FLEET_CALLS_PER_SECOND: Nanos = 100;
+/// The longest period over which such calls are spread. Discovery takes a call from each proxy within 2 to 8 s, however
+/// many there are, and queues calls for up to 2 s.
+const MAX_FLEET_SPREAD: Nanos = 3_500 * MS;
+/// The longest delay after a failed call: another one may be queued for its whole timeout and still be answered before
+/// an update counts as notified.
+const MAX_RETRY_DELAY: Nanos = NOTIFIED_AFTER_REACHABLE - QUEUED_CALL_TIMEOUT - 300 * MS;
+/// The shortest period over which the calls of all proxies after a failure are spread.
+const MIN_RETRY_SPREAD: Nanos = 400 * MS;
 /// The least part of the longest step that a random delay takes.
 const MIN_STEP_PART: f64 = 0.75;
 /// A backoff is doubled at most this many times.
 const MAX_BACKOFF_DOUBLINGS: u32 = 8;
 /// The longest backoff, as a divisor of the maximum poll interval.
 const MAX_BACKOFF_DIVISOR: Nanos = 3;
+/// The longest backoff is at least this, however short the maximum poll interval is.
+const MIN_LONGEST_BACKOFF: Nanos = SECOND;
 /// Attempts to reach an agent on this machine within one drain grace, and the bounds of the time between two.
 const AGENT_ATTEMPTS_PER_DRAIN_GRACE: Nanos = 5;
 const MIN_AGENT_RETRY_INTERVAL: Nanos = 20 * MS;
@@ -67,6 +77,8 @@
     pub pushed: bool,
     /// The number of proxies.
     pub proxies: u32,
+    /// The number of this proxy among them, from 0.
+    pub index: u32,
     /// Without a watch, the list must be requested at least this often.
     pub max_poll_interval: Nanos,
     /// A box gets no new requests later than this after its drain counts as notified.
@@ -78,12 +90,24 @@
         PollConfig {
             pushed: !settings.poll_discovery,
             proxies: settings.proxy_count,
+            index: settings.proxy_index,
             max_poll_interval: settings.discovery_poll_interval,
             drain_grace: settings.drain_grace,
         }
     }
 }
 
+impl PollConfig {
+    /// The latest time after its start at which a process makes its first call. Until that is answered, the process
+    /// works with a list of unknown age.
+    pub fn first_call_spread(&self) -> Nanos {
+        if self.pushed {
+            return 0;
+        }
+        (Nanos::from(self.proxies) * SECOND / FLEET_CALLS_PER_SECOND).min(MAX_FLEET_SPREAD)
+    }
+}
+
 /// Whether a call is in progress, and of which kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -104,6 +128,8 @@
     state: State,
     /// Consecutive calls that failed or did not answer.
     failures: u32,
+    /// Since the last list, the calls of all proxies have been spread by [`PollScheduler::spread_delay`].
+    is_spread: bool,
     /// The earliest moment at which an update that this proxy may have missed counts as notified. Unused where lists are
     /// pushed: failed calls are repeated so soon there ([`PollScheduler::agent_retry_interval`]) that the time does not
     /// matter.
@@ -118,12 +144,10 @@
             random_state: seed,
             state: State::Idle { next_call: now },
             failures: 0,
+            is_spread: true,
             missed_update_deadline: None,
         };
-        if !config.pushed {
-            let spread = scheduler.fleet_spread();
-            scheduler.state = State::Idle { next_call: now + scheduler.random_part(spread, MIN_SPREAD_PART) };
-        }
+        scheduler.state = State::Idle { next_call: now + scheduler.spread_delay(config.first_call_spread()) };
         scheduler
     }
 
@@ -174,7 +198,7 @@
         if !latest && matches!(self.state, State::Watching { .. }) {
             return None;
         }
-        (self.failures, self.missed_update_deadline) = (0, None);
+        (self.failures, self.is_spread, self.missed_update_deadline) = (0, false, None);
         let wait = if self.config.pushed { WATCH_WAIT_PUSHED } else { WATCH_WAIT };
         self.state = State::Watching { began: now, wait_end: now + wait, timeout: now + wait + WATCH_GRACE };
         Some(wait)
@@ -186,13 +210,7 @@
         let delay = if self.config.pushed {
             self.agent_retry_interval()
         } else {
-            let longest_backoff =
-                (self.config.max_poll_interval / MAX_BACKOFF_DIVISOR).max(SECOND).max(self.fleet_spread());
-            let backoff = self.random_part(
-                (self.fleet_spread() << self.failures.min(MAX_BACKOFF_DOUBLINGS)).min(longest_backoff),
-                MIN_SPREAD_PART,
-            );
-            backoff.min(self.random_part(self.longest_step(now), MIN_STEP_PART))
+            self.backoff().min(self.random_part(self.longest_step(now), MIN_STEP_PART))
         };
         self.state = State::Idle { next_call: now + delay };
     }
@@ -233,16 +251,24 @@
             .clamp(MIN_AGENT_RETRY_INTERVAL, MAX_AGENT_RETRY_INTERVAL)
     }
 
-    /// The longest planned time without a call: the maximum poll interval less a margin.
-    fn longest_call_gap(&self) -> Nanos {
-        // The margin is a fifth.
-        self.config.max_poll_interval.max(2 * SECOND) * 4 / 5
+    /// The delay after a failed call where one discovery serves all proxies. The first one since a list spreads the
+    /// calls, which may all have failed at once; the later ones are the same for all proxies, which keeps them spread.
+    fn backoff(&mut self) -> Nanos {
+        let spread = self.config.first_call_spread().max(MIN_RETRY_SPREAD);
+        if !std::mem::replace(&mut self.is_spread, true) {
+            return self.spread_delay(spread);
+        }
+        let longest =
+            (self.config.max_poll_interval / MAX_BACKOFF_DIVISOR).clamp(MIN_LONGEST_BACKOFF, MAX_RETRY_DELAY);
+        (spread << self.failures.min(MAX_BACKOFF_DOUBLINGS)).min(longest)
     }
 
-    /// The period over which the calls of all proxies are spread, for about [`FLEET_CALLS_PER_SECOND`].
-    fn fleet_spread(&self) -> Nanos {
-        (Nanos::from(self.config.proxies) * SECOND / FLEET_CALLS_PER_SECOND)
-            .clamp(MIN_FLEET_SPREAD, self.longest_call_gap())
+    /// A delay within `spread`. Each proxy has its own part of it, so that calls which all proxies, or any of them, make
+    /// after this delay from one moment come at an even rate.
+    fn spread_delay(&mut self, spread: Nanos) -> Nanos {
+        let proxies = Nanos::from(self.config.proxies.max(1));
+        let part = spread / proxies;
+        Nanos::from(self.config.index) % proxies * part + self.random_part(part, 0.0)
     }
 
     /// A random part of a duration, from `least` of it up to all of it.
--- a/crates/freshness/tests/histories.rs
+++ b/crates/freshness/tests/histories.rs
@@ -16,7 +16,16 @@
 }
 
 fn config(pushed: bool, proxies: u32) -> PollConfig {
-    PollConfig { pushed, proxies, max_poll_interval: 10 * SECOND, drain_grace: 500 * MS }
+    PollConfig { pushed, proxies, index: 0, max_poll_interval: 10 * SECOND, drain_grace: 500 * MS }
+}
+
+/// The scheduler of each of these proxies, all starting at 0.
+fn start_fleet(proxies: u32) -> Vec<PollScheduler> {
+    let start = |index: u32| {
+        let config = PollConfig { index, ..config(false, proxies) };
+        PollScheduler::new(config, u64::from(index) * 77 + 1, 0)
+    };
+    (0..proxies).map(start).collect()
 }
 
 /// Brings a scheduler to a watch that has just begun; returns the time, and how long the watch waits.
@@ -99,6 +108,26 @@
         prop_assert!(began.len() > all.len(), "calls before {} ms, when notified: {:?}", notified_at / MS, began);
     }
 
+    /// Guards against a restarted process that works with a list of unknown age for many seconds, and against a backoff
+    /// in which an update could count as notified: a call that is queued for 2.2 s must still fit into its 6 s.
+    #[test]
+    fn first_calls_and_calls_after_failures_begin_in_time_in_fleets_of_any_size(
+        proxies in 1u32..2_000, index: u32, seed: u64, results in prop::collection::vec(failed_call(), 12),
+    ) {
+        let config = PollConfig { index, ..config(false, proxies) };
+        let mut scheduler = PollScheduler::new(config, seed, SECOND);
+        let result_of = |i: usize| results.get(i).copied().unwrap_or((CallResult::Answered, 0));
+        let began = call_times(&mut scheduler, result_of, 60 * SECOND);
+        let first = began[0] - SECOND;
+        prop_assert!(first <= 3_500 * MS, "first call after {} ms", first / MS);
+        let gaps: Vec<Nanos> = began.windows(2).map(|two| two[1] - two[0]).collect();
+        for (gap, (result, duration)) in gaps.iter().zip(&results) {
+            // A refusal is followed by a delay, a silent call by another one at its timeout.
+            let refused_after = if matches!(result, CallResult::Refused) { *duration } else { 0 };
+            prop_assert!(*gap <= refused_after + 6 * SECOND - 2_200 * MS, "gaps of {gaps:?} ns");
+        }
+    }
+
     /// Where lists are pushed, the agent is called again within half of the drain grace, regardless of the results.
     #[test]
     fn an_agent_is_called_again_within_half_of_the_drain_grace(
@@ -118,8 +147,7 @@
     for proxies in [100u32, 350] {
         let mut first = Vec::new();
         let mut all = Vec::new();
-        for seed in 0..u64::from(proxies) {
-            let mut scheduler = PollScheduler::new(config(false, proxies), seed * 77 + 1, 0);
+        for mut scheduler in start_fleet(proxies) {
             let began = call_times(&mut scheduler, |_| (CallResult::Refused, 0), 30 * SECOND);
             first.push(began[0]);
             all.extend(began);
@@ -134,12 +162,11 @@
     }
 }
 
-/// Starts all proxies at once with an old list, against a discovery that serves 40 calls a second and rejects those
-/// that would be queued for more than a second. Returns the most calls in a second, the number of calls, and when the
+/// Starts all proxies at once with an old list, against a discovery that serves so many calls a second and rejects those
+/// that would be queued for longer than `queue`. Returns the most calls in a second, the number of calls, and when the
 /// last proxy received its list.
-fn restart_fleet(proxies: u32) -> (usize, usize, Nanos) {
-    let mut all: Vec<PollScheduler> =
-        (0..u64::from(proxies)).map(|i| PollScheduler::new(config(false, proxies), i * 77 + 1, 0)).collect();
+fn restart_fleet(proxies: u32, calls_per_second: Nanos, queue: Nanos) -> (usize, usize, Nanos) {
+    let mut all = start_fleet(proxies);
     let (mut free_at, mut calls, mut received) = (0, Vec::new(), vec![None; all.len()]);
     while let Some(i) =
         (0..all.len()).filter(|i| received[*i].is_none()).min_by_key(|i| all[*i].next_wakeup())
@@ -148,10 +175,10 @@
         assert!(now < 120 * SECOND && all[i].start_if_due(now), "{calls:?}");
         calls.push(now);
         free_at = free_at.max(now);
-        if free_at > now + SECOND {
+        if free_at > now + queue {
             all[i].poll_failed(now);
         } else {
-            free_at += SECOND / 40;
+            free_at += SECOND / calls_per_second;
             received[i] = Some(free_at);
         }
     }
@@ -163,7 +190,7 @@
 #[test]
 fn a_fleet_that_restarts_at_once_does_not_overload_a_slow_discovery() {
     for proxies in [100, 350] {
-        let (most, all, last) = restart_fleet(proxies);
+        let (most, all, last) = restart_fleet(proxies, 40, SECOND);
         // About 50 calls a second by the mean of the first delays, and fewer with each failure.
         assert!(most <= 110, "{proxies} proxies: {most} calls in a second, at most 110 expected");
         assert!(all <= 3 * proxies as usize, "{proxies} proxies: {all} calls, at most three each expected");
@@ -176,6 +203,36 @@
     }
 }
 
+/// Guards against pauses in which discovery is free and restarted processes still work with their old lists.
+#[test]
+fn a_fleet_that_restarts_at_once_is_served_about_as_soon_as_discovery_can() {
+    // Discovery takes a call from each proxy within 8 s and queues calls for 2 s.
+    for proxies in [300u32, 900] {
+        let (_, _, last) = restart_fleet(proxies, Nanos::from(proxies) / 8, 2 * SECOND);
+        assert!(
+            last < 8 * SECOND + 3_500 * MS,
+            "{proxies} proxies: last list received after {} ms",
+            last / MS
+        );
+    }
+}
+
+/// Guards against calls of all proxies in one moment when discovery goes down under their watches.
+#[test]
+fn a_fleet_whose_watches_all_end_at_once_spreads_its_calls() {
+    for proxies in [100u32, 350] {
+        let mut all = Vec::new();
+        for mut scheduler in start_fleet(proxies) {
+            start_watch(&mut scheduler);
+            scheduler.poll_failed(20 * SECOND);
+            all.extend(call_times(&mut scheduler, |_| (CallResult::Refused, 0), 50 * SECOND));
+        }
+        let in_second = |t: &Nanos| all.iter().filter(|c| **c >= *t && **c < *t + SECOND).count();
+        let most = all.iter().map(in_second).max().unwrap_or(0);
+        assert!(most <= 150, "{proxies} proxies: {most} calls in a second, at most 150 expected");
+    }
+}
+
 #[test]
 fn a_subscription_is_renewed_after_each_failure_and_only_where_lists_are_polled() {
     let list = |kind| Event::ServerList { kind, entries: Vec::new() };
--- a/crates/proxy/src/platform/discovery.rs
+++ b/crates/proxy/src/platform/discovery.rs
@@ -206,6 +206,7 @@
     names: TopologyNames,
     scheduler: PollScheduler,
     version: Option<u64>,
+    started_at: Nanos,
     /// When discovery last responded with a valid list.
     updated_at: Option<Nanos>,
     /// The number of consecutive lists that were older than the one in force.
@@ -226,6 +227,7 @@
             names: config.topology.clone(),
             scheduler: PollScheduler::new(PollConfig::from(&config.settings), config.seed, now),
             version,
+            started_at: now,
             updated_at: None,
             older_lists: 0,
             tokens,
@@ -335,6 +337,10 @@
             let update = response.ok().filter(|u| self.version.is_none_or(|known| u.version >= known))?;
             (update, true)
         };
+        if self.updated_at.is_none() {
+            let age_ms = now.saturating_sub(self.started_at) / MS;
+            eprintln!("discovery: first list {age_ms} ms after the start, version {}", update.version);
+        }
         let is_newer = self.version != Some(update.version);
         (self.version, self.updated_at) = (Some(update.version), Some(now));
         if let Some(wait) = self.scheduler.list_received(now, is_latest) {
--- a/crates/proxy/tests/freshness.rs
+++ b/crates/proxy/tests/freshness.rs
@@ -182,3 +182,40 @@
     let log = proxy.log();
     assert!(log.contains("discovery: seq 40 is older than 41, which is in force"), "{log}");
 }
+
+/// Guards against restarted processes of a large fleet that work with an old list for many seconds: an update that was
+/// published before they started counts as notified 6 s after it was.
+#[test]
+fn restarted_processes_of_a_large_fleet_apply_a_missed_removal_within_seconds() {
+    const PROCESSES: u64 = 8;
+    let (nodes, discovery) = (Server::many(2), Server::start());
+    let started = Instant::now();
+    let start = |i: u64| {
+        Proxy::with(&nodes, |c| {
+            subscribed(c, &discovery);
+            c["seed"] = json!(format!("{:016x}", 0x8c1f_30d2 + i));
+            c["settings"]["n_instances"] = json!(900);
+            c["settings"]["self_index"] = json!(i * 899 / (PROCESSES - 1));
+        })
+    };
+    let proxies: Vec<Proxy> = (0..PROCESSES).map(start).collect();
+    let removal = list(42, false, &[host("s-1", nodes.addresses[1], "removed")]);
+    let (mut answered, mut watches) = (0, Vec::new());
+    while answered < PROCESSES {
+        let (mut call, wait) = accept_call(&discovery);
+        if wait > 0 {
+            watches.push(call);
+            continue;
+        }
+        // The call is queued at discovery.
+        std::thread::sleep(Duration::from_millis(100));
+        call.list(&removal);
+        answered += 1;
+    }
+    let took = started.elapsed();
+    assert!(took < Duration::from_secs(6), "the last of {PROCESSES} processes was answered after {took:?}");
+    while watches.len() < PROCESSES as usize {
+        watches.push(accept_call(&discovery).0);
+    }
+    proxies.iter().for_each(|proxy| assert_reads_go_to_first_node(proxy, &nodes));
+}
