--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -632,7 +632,12 @@
     /// Returns the status of an operation, or `None` if it is unknown or no longer remembered.
     pub fn operation_status(&self, id: &str) -> Option<OperationStatus> {
         let operation = self.plan.operations.iter().find(|o| o.id == id)?;
-        Some(self.status_of(operation))
+        let mut status = self.status_of(operation);
+        // A final outcome is recorded at the next tick. An agent that dies before that would not remember it.
+        if operation.settled.is_none() && status.outcome.is_final() {
+            status.outcome = Outcome::Pending;
+        }
+        Some(status)
     }
 
     fn status_of(&self, operation: &Operation) -> OperationStatus {
@@ -710,7 +715,7 @@
                 continue;
             }
             let outcome = self.status_of(operation).outcome;
-            if !matches!(outcome, Outcome::Pending | Outcome::Unknown) {
+            if outcome.is_final() {
                 self.plan.operations[i].settled = Some(outcome);
                 self.mark_dirty(RecordKey::Operations);
             }
@@ -745,6 +750,11 @@
 }
 
 impl Outcome {
+    /// Whether it does not change any more.
+    fn is_final(self) -> bool {
+        !matches!(self, Outcome::Pending | Outcome::Unknown)
+    }
+
     fn worse_of(self, other: Outcome) -> Outcome {
         worst_outcome([self, other].into_iter())
     }
--- a/crates/fleet/tests/histories.rs
+++ b/crates/fleet/tests/histories.rs
@@ -282,6 +282,17 @@
         self.fleet.operation_status(id).expect("known").outcome
     }
 
+    /// Asserts that an outcome which the fleet reports as final is the one in the journal.
+    fn assert_reported_outcome_is_journaled(&self, id: &str) {
+        let reported = self.outcome(id);
+        let journaled = self.journaled_plan.operations.iter().find(|o| o.id == id).and_then(|o| o.settled);
+        let is_final = !matches!(reported, Outcome::Pending | Outcome::Unknown);
+        assert!(
+            !is_final || journaled == Some(reported),
+            "{reported:?} is reported, {journaled:?} journaled"
+        );
+    }
+
     fn rollout_state(&self) -> &RolloutState {
         &self.fleet.plan().rollout.as_ref().expect("a rollout").state
     }
@@ -440,6 +451,31 @@
     }
 }
 
+/// Guards against an outcome that an operator sees and that an agent which dies right after does not remember.
+#[test]
+fn an_operation_is_reported_as_applied_only_once_this_is_in_the_journal() {
+    let mut m = Machine::new(11);
+    m.submit_current("begin", Command::Apply { instances: desired_instances(2, 1), policy: policy() })
+        .expect("accepted");
+    let mut steps_as_pending = 0;
+    while m.outcome("begin") != Outcome::Applied {
+        assert!(steps_as_pending < 1_000, "never applied");
+        steps_as_pending += 1;
+        // A step without the tick at its end: the instances report, and an operator asks before the next tick.
+        m.now += STEP_MS;
+        for (name, mut p) in m.processes.clone() {
+            p.report.ready = m.now >= p.ready_at;
+            m.handle_event(Event::Reported { name, report: p.report });
+            m.assert_reported_outcome_is_journaled("begin");
+        }
+        m.handle_event(Event::Tick);
+        m.assert_reported_outcome_is_journaled("begin");
+    }
+    let before = m.outcome("begin");
+    m.restart_agent();
+    assert_eq!((m.outcome("begin"), steps_as_pending > 1), (before, true));
+}
+
 #[test]
 fn a_configuration_that_crashes_pauses_the_rollout_and_can_be_rolled_back() {
     let mut m = Machine::with_running_instances(5, 6);
