Resume a paused rollback as a rollback

What operators saw: a rollout was aborted, paused on its way back and resumed, and it brought the new configuration out again.

Cause: a pause replaces the state, and resuming set it to running whatever it had been before. The new test failed before (Running in place of RollingBack).

--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -211,6 +211,9 @@
     pub done: BTreeSet<String>,
     /// Instances whose change failed.
     pub failed: BTreeSet<String>,
+    /// It was aborted: when it is resumed after a pause, it goes on rolling back.
+    #[serde(default)]
+    pub aborted: bool,
 }
 
 impl Rollout {
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -59,6 +59,7 @@
             current: Default::default(),
             done: Default::default(),
             failed: Default::default(),
+            aborted: false,
         });
         self.mark_dirty(RecordKey::Rollout);
     }
@@ -70,21 +71,23 @@
         }
     }
 
-    /// Resumes the rollout and retries the failed instances.
+    /// Resumes the rollout in its direction. On the way forward, the failed instances are retried.
     pub(crate) fn resume_rollout(&mut self) {
-        if let Some(rollout) = &mut self.plan.rollout {
+        let Some(rollout) = &mut self.plan.rollout else { return };
+        if rollout.aborted {
+            rollout.state = RolloutState::RollingBack;
+        } else {
             rollout.current.extend(std::mem::take(&mut rollout.failed));
-            // This applies to a paused rollback too.
             rollout.state = RolloutState::Running;
-            self.mark_dirty(RecordKey::Rollout);
         }
+        self.mark_dirty(RecordKey::Rollout);
     }
 
     /// Rolls changed instances back to their previous configuration. The incarnation is kept, so that aborting a
     /// restart does not restart the instances again.
     pub(crate) fn abort_rollout(&mut self) {
         let Some(rollout) = &mut self.plan.rollout else { return };
-        rollout.state = RolloutState::RollingBack;
+        (rollout.state, rollout.aborted) = (RolloutState::RollingBack, true);
         let previous = rollout.before.clone();
         rollout.current = previous.keys().cloned().collect();
         for (name, (generation, _)) in previous {
--- a/crates/fleet/tests/histories.rs
+++ b/crates/fleet/tests/histories.rs
@@ -385,7 +385,7 @@
                         && p.report.generation == i.generation
                         && p.report.drained == i.drained
                         && p.report.revision == plan.revision
-                })
+                }) && (i.drained || m.fleet.is_available(name))
             };
             m.processes.keys().eq(running)
                 && plan.instances.iter().filter(|(_, i)| i.running).all(matches_intent)
@@ -496,6 +496,27 @@
     assert_eq!(m.outcome("roll"), Outcome::Failed);
 }
 
+/// Guards against a rollback that turns into the rollout again after a pause.
+#[test]
+fn a_rollback_that_is_paused_and_resumed_goes_on_rolling_back() {
+    let mut m = Machine::with_running_instances(12, 6);
+    m.restart_required = true;
+    m.submit_current("roll", Command::Apply { instances: desired_instances(6, 2), policy: policy() })
+        .expect("accepted");
+    let some_changed = |m: &Machine| m.processes.values().any(|p| p.report.generation == 2);
+    m.advance_until("an instance is changed", some_changed);
+    m.submit_current("abort", Command::Abort).expect("accepted");
+    m.submit_current("pause", Command::Pause).expect("accepted");
+    m.advance_by(200);
+    assert!(matches!(m.rollout_state(), RolloutState::Paused(_)));
+    // The direction is in the journal too.
+    m.restart_agent();
+    m.submit_current("resume", Command::Resume).expect("accepted");
+    assert_eq!(*m.rollout_state(), RolloutState::RollingBack);
+    m.advance_until("the rollback is complete", |m| *m.rollout_state() == RolloutState::Aborted);
+    assert!(m.processes.len() == 6 && m.processes.values().all(|p| p.report.generation == 1));
+}
+
 #[test]
 fn a_hung_instance_delays_no_other_and_does_not_break_the_limits_on_unavailable_instances() {
     let mut m = Machine::with_running_instances(6, 6);
