--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,8 @@
 
 /// Delay before the restart after the first crash. Each further consecutive crash doubles it.
 const INITIAL_BACKOFF_MS: Millis = 500;
+/// The delay is doubled at most this many times.
+const MAX_BACKOFF_DOUBLINGS: u32 = 10;
 /// Maximum delay before a restart.
 const MAX_BACKOFF_MS: Millis = 30_000;
 /// Time that an instance must stay ready until its count of consecutive crashes is reset.
@@ -359,7 +361,7 @@
 
     fn record_crash(&mut self, now: Millis, name: &str, reason: String) {
         let Some(observed) = self.observed.get_mut(name) else { return };
-        let backoff = (INITIAL_BACKOFF_MS << observed.consecutive_crashes.min(10)).min(MAX_BACKOFF_MS);
+        let backoff = backoff_after(observed.consecutive_crashes);
         // Jitter of 25 % either way, so that instances that crashed together do not restart together.
         let name_hash = name.bytes().fold(u64::from(observed.consecutive_crashes), |hash, byte| {
             hash.wrapping_mul(31).wrapping_add(u64::from(byte))
@@ -427,8 +429,7 @@
                 observed.last_error =
                     Some(format!("did not respond within {} ms after its start", policy.ready_within));
                 observed.consecutive_crashes += 1;
-                observed.retry_at =
-                    now + (INITIAL_BACKOFF_MS << observed.consecutive_crashes.min(10)).min(MAX_BACKOFF_MS);
+                observed.retry_at = now + backoff_after(observed.consecutive_crashes);
             }
             actions.push(Action::Terminate(name.to_owned()));
             return;
@@ -723,6 +724,11 @@
     }
 }
 
+/// The delay before a restart after this many consecutive crashes before the last one.
+fn backoff_after(earlier_crashes: u32) -> Millis {
+    (INITIAL_BACKOFF_MS << earlier_crashes.min(MAX_BACKOFF_DOUBLINGS)).min(MAX_BACKOFF_MS)
+}
+
 /// Rejects invalid instance names and too many instances.
 fn validate_instances(instances: &BTreeMap<String, plan::DesiredInstance>) -> Result<(), Rejection> {
     if instances.len() > plan::MAX_INSTANCES {
