Name the counts of cache nodes, and take AttemptRecord apart where its text is written

Boxes::counts returned a tuple of four numbers; it returns a struct with documented fields now. The text of AttemptRecord named its fields by hand, so that a new one could be forgotten; now it would not compile. No change of behaviour.

--- a/crates/proxy/src/boxes/status.rs
+++ b/crates/proxy/src/boxes/status.rs
@@ -9,13 +9,28 @@
 use control::message::{BoxStatus, Pipelines, DEPTH_CLASS_BOUNDS};
 use serde_json::{json, Value};
 
+/// How many cache nodes there are, and what is on them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeCounts {
+    /// Nodes that discovery lists.
+    pub listed: usize,
+    /// Nodes that take new work.
+    pub usable: usize,
+    /// Connections to nodes, including those being established.
+    pub connections: usize,
+    /// Attempts on these connections, including cancelled ones whose replies are still due.
+    pub attempts: usize,
+}
+
 impl Boxes {
-    /// Numbers of listed nodes, of nodes that take new work, of connections and of attempts.
-    pub fn counts(&self) -> (usize, usize, usize, usize) {
-        let listed = self.nodes.values().filter(|n| n.entry.state != ServerState::Removed).count();
-        let usable = self.nodes.values().filter(|n| n.accepts_work()).count();
-        let attempts = self.connections.iter().map(|(_, c)| c.depth()).sum();
-        (listed, usable, self.connections.len(), attempts)
+    /// Counts the nodes, the connections and the attempts on these.
+    pub fn counts(&self) -> NodeCounts {
+        NodeCounts {
+            listed: self.nodes.values().filter(|n| n.entry.state != ServerState::Removed).count(),
+            usable: self.nodes.values().filter(|n| n.accepts_work()).count(),
+            connections: self.connections.len(),
+            attempts: self.connections.iter().map(|(_, c)| c.depth()).sum(),
+        }
     }
 
     /// Status of the first nodes by name after the given one, or only of those that are leaving; and whether more
--- a/crates/proxy/src/front/operate.rs
+++ b/crates/proxy/src/front/operate.rs
@@ -60,7 +60,7 @@
 
     /// Notifies watchers of changes, and disconnects controllers that have exceeded a time limit.
     pub(crate) fn sweep_control(&mut self) {
-        if !self.has_been_ready && self.boxes.counts().1 > 0 {
+        if !self.has_been_ready && self.boxes.counts().usable > 0 {
             self.has_been_ready = true;
             self.change_count += 1;
         }
@@ -229,7 +229,7 @@
         match (is_leaving, self.closed_to_clients && self.clients.is_empty()) {
             (true, true) => Phase::Stopped,
             (true, false) => Phase::Draining,
-            (false, _) if self.has_been_ready || self.boxes.counts().1 > 0 => Phase::Ready,
+            (false, _) if self.has_been_ready || self.boxes.counts().usable > 0 => Phase::Ready,
             (false, _) => Phase::Starting,
         }
     }
@@ -256,7 +256,7 @@
         let gauges = Gauges {
             backend_calls: self.boxes.attempts_written(),
             inflight: self.requests.unanswered() + self.streamed_values.len(),
-            hosts_listed: self.boxes.counts().0,
+            hosts_listed: self.boxes.counts().listed,
             hosts_down: self.balancer.unavailable_servers(self.event_loop.now),
         };
         self.observers.metrics.write(&self.config.classes, &gauges)
@@ -266,7 +266,7 @@
     pub(crate) fn status(&self) -> Status {
         let (version, updated_at) = self.discovery.last_list();
         let age_ms = |since: Nanos| self.event_loop.now.saturating_sub(since) / MS;
-        let (boxes, usable, connections, attempts) = self.boxes.counts();
+        let counts = self.boxes.counts();
         let mut counters = self.observers.counters;
         counters.wrong_passwords = self.clients.wrong_passwords();
         Status {
@@ -281,13 +281,13 @@
                 version,
                 age_ms: age_ms(updated_at.unwrap_or(self.event_loop.clock.unix_start)),
                 failing: self.discovery_failed,
-                boxes,
-                usable,
+                boxes: counts.listed,
+                usable: counts.usable,
             },
             requests: self.requests.unanswered(),
-            attempts,
+            attempts: counts.attempts,
             clients: self.clients.count(),
-            connections,
+            connections: counts.connections,
             counters,
             pipelines: self.boxes.pipeline_stats(self.event_loop.now),
             leaving: self
--- a/crates/testkit/src/world/clients.rs
+++ b/crates/testkit/src/world/clients.rs
@@ -62,16 +62,17 @@
 /// Histories of runs over sockets contain this text, so it keeps the type's former name.
 impl fmt::Debug for AttemptRecord {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let AttemptRecord { id, key, write, proxy, sent, ended, end, tries, protocol } = self;
         f.debug_struct("Asked")
-            .field("id", &self.id)
-            .field("key", &self.key)
-            .field("write", &self.write)
-            .field("proxy", &self.proxy)
-            .field("sent", &self.sent)
-            .field("ended", &self.ended)
-            .field("end", &self.end)
-            .field("tries", &self.tries)
-            .field("protocol", &self.protocol)
+            .field("id", id)
+            .field("key", key)
+            .field("write", write)
+            .field("proxy", proxy)
+            .field("sent", sent)
+            .field("ended", ended)
+            .field("end", end)
+            .field("tries", tries)
+            .field("protocol", protocol)
             .finish()
     }
 }
