Make backoffs of discovery calls random again, and spread small fleets as before

Cause: delays after failures were equal for all proxies, so that the burst kept its order, and discovery, which takes 4 calls a second there, turned the same ones away each time.

Delays are random within a part that leaves about 105 calls a second in all while discovery is down (the tests' 110 and 150 hold), and first calls of small fleets are spread over n/50 s as before, with the bound of 3.5 s.

--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -45,16 +45,23 @@
 const QUEUED_CALL_TIMEOUT: Nanos = 2_200 * MS;
 /// The shortest time between two calls where one discovery serves all proxies.
 const MIN_CALL_INTERVAL: Nanos = 200 * MS;
-/// The rate of calls of all proxies together at one discovery, when they start or fail at once.
-const FLEET_CALLS_PER_SECOND: Nanos = 100;
+/// The rate of calls of all proxies together at one discovery when they start or fail at once, in fleets small enough for
+/// [`MAX_FLEET_SPREAD`].
+const FLEET_CALLS_PER_SECOND: Nanos = 50;
+/// The rate of calls that the backoff of all proxies together keeps to while discovery is down, as far as the longest
+/// backoff allows.
+const FLEET_RETRIES_PER_SECOND: f64 = 105.0;
 /// The longest period over which such calls are spread. Discovery takes a call from each proxy within 2 to 8 s, however
 /// many there are, and queues calls for up to 2 s.
 const MAX_FLEET_SPREAD: Nanos = 3_500 * MS;
 /// The longest delay after a failed call: another one may be queued for its whole timeout and still be answered before
 /// an update counts as notified.
 const MAX_RETRY_DELAY: Nanos = NOTIFIED_AFTER_REACHABLE - QUEUED_CALL_TIMEOUT - 300 * MS;
-/// The shortest period over which the calls of all proxies after a failure are spread.
-const MIN_RETRY_SPREAD: Nanos = 400 * MS;
+/// The shortest period over which such calls are spread.
+const MIN_FLEET_SPREAD: Nanos = 400 * MS;
+/// The least part of a backoff that a random delay takes, and its upper bound in large fleets.
+const MIN_BACKOFF_PART: f64 = 0.2;
+const MAX_MIN_BACKOFF_PART: f64 = 0.95;
 /// The least part of the longest step that a random delay takes.
 const MIN_STEP_PART: f64 = 0.75;
 /// A backoff is doubled at most this many times.
@@ -104,7 +111,8 @@
         if self.pushed {
             return 0;
         }
-        (Nanos::from(self.proxies) * SECOND / FLEET_CALLS_PER_SECOND).min(MAX_FLEET_SPREAD)
+        (Nanos::from(self.proxies) * SECOND / FLEET_CALLS_PER_SECOND)
+            .clamp(MIN_FLEET_SPREAD, MAX_FLEET_SPREAD)
     }
 }
 
@@ -252,15 +260,25 @@
     }
 
     /// The delay after a failed call where one discovery serves all proxies. The first one since a list spreads the
-    /// calls, which may all have failed at once; the later ones are the same for all proxies, which keeps them spread.
+    /// calls, which may all have failed at once. The later ones are random: discovery rejects the calls at the end of a
+    /// burst, and without chance these would be the same proxies each time.
     fn backoff(&mut self) -> Nanos {
-        let spread = self.config.first_call_spread().max(MIN_RETRY_SPREAD);
+        let spread = self.config.first_call_spread();
         if !std::mem::replace(&mut self.is_spread, true) {
             return self.spread_delay(spread);
         }
         let longest =
             (self.config.max_poll_interval / MAX_BACKOFF_DIVISOR).clamp(MIN_LONGEST_BACKOFF, MAX_RETRY_DELAY);
-        (spread << self.failures.min(MAX_BACKOFF_DOUBLINGS)).min(longest)
+        let backoff = (spread << self.failures.min(MAX_BACKOFF_DOUBLINGS)).min(longest);
+        self.random_part(backoff, self.min_backoff_part(longest))
+    }
+
+    /// The least part of a backoff with which the calls of all proxies, after backoffs of `longest` at the most, come at
+    /// [`FLEET_RETRIES_PER_SECOND`] or fewer.
+    fn min_backoff_part(&self, longest: Nanos) -> f64 {
+        let mean_seconds = f64::from(self.config.proxies) / FLEET_RETRIES_PER_SECOND;
+        let longest_seconds = longest as f64 / SECOND as f64;
+        (2.0 * mean_seconds / longest_seconds - 1.0).clamp(MIN_BACKOFF_PART, MAX_MIN_BACKOFF_PART)
     }
 
     /// A delay within `spread`. Each proxy has its own part of it, so that calls which all proxies, or any of them, make
--- a/crates/freshness/tests/histories.rs
+++ b/crates/freshness/tests/histories.rs
@@ -207,7 +207,7 @@
 #[test]
 fn a_fleet_that_restarts_at_once_is_served_about_as_soon_as_discovery_can() {
     // Discovery takes a call from each proxy within 8 s and queues calls for 2 s.
-    for proxies in [300u32, 900] {
+    for proxies in [32u32, 300, 900] {
         let (_, _, last) = restart_fleet(proxies, Nanos::from(proxies) / 8, 2 * SECOND);
         assert!(
             last < 8 * SECOND + 3_500 * MS,
