--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -47,7 +47,7 @@
 const MIN_CALL_INTERVAL: Nanos = 200 * MS;
 /// The rate of calls of all proxies together at one discovery when they start or fail at once, in fleets small enough for
 /// [`MAX_FLEET_SPREAD`].
-const FLEET_CALLS_PER_SECOND: Nanos = 50;
+const FLEET_CALLS_PER_SECOND: Nanos = 100;
 /// The rate of calls that the backoff of all proxies together keeps to while discovery is down, as far as the longest
 /// backoff allows.
 const FLEET_RETRIES_PER_SECOND: f64 = 105.0;
