Count calls a second in one place in the tests, and reword comments of the change

Read again after the mends: the count of calls within a second stood three times in the histories of discovery calls and is one function now; a loop of a test that could run only once is straight, with the same assertions; a duration was called an age; the constants of spread and backoff stand in order, and comments that asked for a second reading are reworded.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -724,9 +724,9 @@
     }
 }
 
-/// The delay before a restart after this many consecutive crashes before the last one.
-fn backoff_after(earlier_crashes: u32) -> Millis {
-    (INITIAL_BACKOFF_MS << earlier_crashes.min(MAX_BACKOFF_DOUBLINGS)).min(MAX_BACKOFF_MS)
+/// The delay before a restart, by the number of crashes to back off for; 0 gives [`INITIAL_BACKOFF_MS`].
+fn backoff_after(crashes: u32) -> Millis {
+    (INITIAL_BACKOFF_MS << crashes.min(MAX_BACKOFF_DOUBLINGS)).min(MAX_BACKOFF_MS)
 }
 
 /// Rejects invalid instance names and too many instances.
--- a/crates/fleet/tests/histories.rs
+++ b/crates/fleet/tests/histories.rs
@@ -451,7 +451,7 @@
     }
 }
 
-/// Guards against an outcome that an operator sees and that an agent which dies right after does not remember.
+/// Guards against reporting an outcome before it is in the journal: an agent that dies then would forget it.
 #[test]
 fn an_operation_is_reported_as_applied_only_once_this_is_in_the_journal() {
     let mut m = Machine::new(11);
@@ -496,7 +496,7 @@
     assert_eq!(m.outcome("roll"), Outcome::Failed);
 }
 
-/// Guards against a rollback that turns into the rollout again after a pause.
+/// Guards against a paused rollback that applies the new configuration again when it is resumed.
 #[test]
 fn a_rollback_that_is_paused_and_resumed_goes_on_rolling_back() {
     let mut m = Machine::with_running_instances(12, 6);
--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -45,21 +45,18 @@
 const QUEUED_CALL_TIMEOUT: Nanos = 2_200 * MS;
 /// The shortest time between two calls where one discovery serves all proxies.
 const MIN_CALL_INTERVAL: Nanos = 200 * MS;
-/// The rate of calls of all proxies together at one discovery when they start or fail at once, in fleets small enough for
-/// [`MAX_FLEET_SPREAD`].
+/// The planned rate of calls of all proxies together at one discovery after they started, or failed, at the same time.
 const FLEET_CALLS_PER_SECOND: Nanos = 100;
-/// The rate of calls that the backoff of all proxies together keeps to while discovery is down, as far as the longest
-/// backoff allows.
-const FLEET_RETRIES_PER_SECOND: f64 = 105.0;
-/// The longest period over which such calls are spread. Discovery takes a call from each proxy within 2 to 8 s, however
-/// many there are, and queues calls for up to 2 s.
+/// The shortest and the longest period over which these calls are spread. The longest one takes precedence over the planned
+/// rate: discovery accepts a call from each proxy within 2 to 8 s, however many there are, and queues calls for up to 2 s.
+const MIN_FLEET_SPREAD: Nanos = 400 * MS;
 const MAX_FLEET_SPREAD: Nanos = 3_500 * MS;
+/// The planned rate of retries of all proxies together while discovery is down.
+const FLEET_RETRIES_PER_SECOND: f64 = 105.0;
 /// The longest delay after a failed call: another one may be queued for its whole timeout and still be answered before
 /// an update counts as notified.
 const MAX_RETRY_DELAY: Nanos = NOTIFIED_AFTER_REACHABLE - QUEUED_CALL_TIMEOUT - 300 * MS;
-/// The shortest period over which such calls are spread.
-const MIN_FLEET_SPREAD: Nanos = 400 * MS;
-/// The least part of a backoff that a random delay takes, and its upper bound in large fleets.
+/// The bounds of the least part of a backoff that a random delay takes; the part is larger in larger fleets.
 const MIN_BACKOFF_PART: f64 = 0.2;
 const MAX_MIN_BACKOFF_PART: f64 = 0.95;
 /// The least part of the longest step that a random delay takes.
@@ -260,8 +257,8 @@
     }
 
     /// The delay after a failed call where one discovery serves all proxies. The first one since a list spreads the
-    /// calls, which may all have failed at once. The later ones are random: discovery rejects the calls at the end of a
-    /// burst, and without chance these would be the same proxies each time.
+    /// calls, which may all have failed at once. The later ones are random: discovery rejects the last calls of a burst,
+    /// and with equal delays these would come from the same proxies each time.
     fn backoff(&mut self) -> Nanos {
         let spread = self.config.first_call_spread();
         if !std::mem::replace(&mut self.is_spread, true) {
@@ -273,8 +270,8 @@
         self.random_part(backoff, self.min_backoff_part(longest))
     }
 
-    /// The least part of a backoff with which the calls of all proxies, after backoffs of `longest` at the most, come at
-    /// [`FLEET_RETRIES_PER_SECOND`] or fewer.
+    /// The least part of a backoff that a random delay takes. It is chosen so that all proxies together make
+    /// [`FLEET_RETRIES_PER_SECOND`] once their backoffs have reached `longest`.
     fn min_backoff_part(&self, longest: Nanos) -> f64 {
         let mean_seconds = f64::from(self.config.proxies) / FLEET_RETRIES_PER_SECOND;
         let longest_seconds = longest as f64 / SECOND as f64;
--- a/crates/freshness/tests/histories.rs
+++ b/crates/freshness/tests/histories.rs
@@ -63,6 +63,12 @@
     }
 }
 
+/// The largest number of calls that begin within one second.
+fn most_in_a_second(calls: &[Nanos]) -> usize {
+    let within_second_of = |at: &Nanos| calls.iter().filter(|c| **c >= *at && **c < *at + SECOND).count();
+    calls.iter().map(within_second_of).max().unwrap_or(0)
+}
+
 fn failed_call() -> impl Strategy<Value = (CallResult, Nanos)> {
     let result = prop_oneof![Just(CallResult::Refused), Just(CallResult::Silent)];
     (result, (0..900u64).prop_map(|ms| ms * MS))
@@ -108,8 +114,8 @@
         prop_assert!(began.len() > all.len(), "calls before {} ms, when notified: {:?}", notified_at / MS, began);
     }
 
-    /// Guards against a restarted process that works with a list of unknown age for many seconds, and against a backoff
-    /// in which an update could count as notified: a call that is queued for 2.2 s must still fit into its 6 s.
+    /// Guards against a late first call of a restarted process, whose list may be outdated, and against a long backoff: an
+    /// update counts as notified after 6 s, and discovery may queue the call that fetches it for 2.2 s.
     #[test]
     fn first_calls_and_calls_after_failures_begin_in_time_in_fleets_of_any_size(
         proxies in 1u32..2_000, index: u32, seed: u64, results in prop::collection::vec(failed_call(), 12),
@@ -152,10 +158,6 @@
             first.push(began[0]);
             all.extend(began);
         }
-        let most_in_a_second = |calls: &[Nanos]| {
-            let from = |at: &Nanos| calls.iter().filter(|c| **c >= *at && **c < *at + SECOND).count();
-            calls.iter().map(from).max().unwrap_or(0)
-        };
         let (first, all) = (most_in_a_second(&first), most_in_a_second(&all));
         assert!(first <= 110, "{proxies} proxies: {first} first calls in a second, at most 110 expected");
         assert!(all <= 150, "{proxies} proxies: {all} calls in a second, at most 150 expected");
@@ -182,9 +184,7 @@
             received[i] = Some(free_at);
         }
     }
-    let in_second = |t: &Nanos| calls.iter().filter(|c| **c >= *t && **c < *t + SECOND).count();
-    let most = calls.iter().map(in_second).max().unwrap_or(0);
-    (most, calls.len(), received.into_iter().flatten().max().unwrap_or(0))
+    (most_in_a_second(&calls), calls.len(), received.into_iter().flatten().max().unwrap_or(0))
 }
 
 #[test]
@@ -203,7 +203,7 @@
     }
 }
 
-/// Guards against pauses in which discovery is free and restarted processes still work with their old lists.
+/// Guards against backoffs so long that discovery is idle while restarted processes still use outdated lists.
 #[test]
 fn a_fleet_that_restarts_at_once_is_served_about_as_soon_as_discovery_can() {
     // Discovery takes a call from each proxy within 8 s and queues calls for 2 s.
@@ -217,7 +217,7 @@
     }
 }
 
-/// Guards against calls of all proxies in one moment when discovery goes down under their watches.
+/// Guards against simultaneous calls of all proxies after discovery went down and ended all their watches.
 #[test]
 fn a_fleet_whose_watches_all_end_at_once_spreads_its_calls() {
     for proxies in [100u32, 350] {
@@ -227,8 +227,7 @@
             scheduler.poll_failed(20 * SECOND);
             all.extend(call_times(&mut scheduler, |_| (CallResult::Refused, 0), 50 * SECOND));
         }
-        let in_second = |t: &Nanos| all.iter().filter(|c| **c >= *t && **c < *t + SECOND).count();
-        let most = all.iter().map(in_second).max().unwrap_or(0);
+        let most = most_in_a_second(&all);
         assert!(most <= 150, "{proxies} proxies: {most} calls in a second, at most 150 expected");
     }
 }
--- a/crates/pipeline/src/latency.rs
+++ b/crates/pipeline/src/latency.rs
@@ -2,7 +2,7 @@
 
 use crate::{CommandKind, Nanos};
 
-/// The upper end of the first bucket. Shorter latencies are not told apart.
+/// The upper end of the first bucket. Shorter latencies are all counted in it.
 const MIN_RESOLVED: Nanos = 64_000;
 /// The number of buckets: two per octave, from 64 us to 4 s.
 const BUCKETS: usize = 33;
--- a/crates/proxy/src/platform/discovery.rs
+++ b/crates/proxy/src/platform/discovery.rs
@@ -206,6 +206,7 @@
     names: TopologyNames,
     scheduler: PollScheduler,
     version: Option<u64>,
+    /// When this client was created, at the start of the process.
     started_at: Nanos,
     /// When discovery last responded with a valid list.
     updated_at: Option<Nanos>,
@@ -338,8 +339,8 @@
             (update, true)
         };
         if self.updated_at.is_none() {
-            let age_ms = now.saturating_sub(self.started_at) / MS;
-            eprintln!("discovery: first list {age_ms} ms after the start, version {}", update.version);
+            let elapsed_ms = now.saturating_sub(self.started_at) / MS;
+            eprintln!("discovery: first list {elapsed_ms} ms after the start, version {}", update.version);
         }
         let is_newer = self.version != Some(update.version);
         (self.version, self.updated_at) = (Some(update.version), Some(now));
--- a/crates/proxy/tests/addresses.rs
+++ b/crates/proxy/tests/addresses.rs
@@ -410,7 +410,7 @@
         &[host_with_addresses("s-0", &[format!("unix:{}", path.display()), node.addresses[0].to_string()])],
     );
     let mut command = std::process::Command::new(&program);
-    // Permissions do not apply to root, so the proxy then runs as user nobody.
+    // Permissions do not apply to root, so the proxy then runs with the unprivileged user id 65534.
     if std::fs::metadata("/proc/self").expect("a process").uid() == 0 {
         command.uid(65_534).gid(65_534);
     }
--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -8,7 +8,7 @@
 /// Upper bound for what happens at once, on a machine under load.
 const PROMPT: Duration = Duration::from_secs(5);
 
-/// Guards against an attempt that waits for its connection and is sent long after its client has gone.
+/// Guards against sending an attempt once its connection is established, long after the client disconnected.
 #[test]
 fn an_attempt_on_a_late_connection_is_not_sent_once_its_client_has_left() {
     let (late_node, mut backlog) = full_backlog();
@@ -25,16 +25,14 @@
     let mut waiting = proxy.client();
     waiting.get(2, "read", 15_000);
     let node = Server::at(backlog.remove(0).into());
-    let (mut peers, mut answered) = (Vec::new(), false);
-    while !answered {
-        let (i, command) = node.any(&mut peers);
-        assert_eq!(command[1], format!("{:016x}", 2), "sent for the client that has left");
-        peers[i].send(hit("v"));
-        answered = waiting.command()[0] == "v";
-    }
+    let mut peers = Vec::new();
+    let (i, command) = node.any(&mut peers);
+    assert_eq!(command[1], format!("{:016x}", 2), "sent for the client that has left");
+    peers[i].send(hit("v"));
+    assert_eq!(waiting.command()[0], "v");
 }
 
-/// Guards against the rest of a command being written to a slow node long after its client has gone.
+/// Guards against writing the rest of a command to a slow node long after the client disconnected.
 #[test]
 fn a_partly_written_command_is_abandoned_once_its_client_has_left() {
     let node = Server::start();
--- a/crates/proxy/tests/freshness.rs
+++ b/crates/proxy/tests/freshness.rs
@@ -183,8 +183,8 @@
     assert!(log.contains("discovery: seq 40 is older than 41, which is in force"), "{log}");
 }
 
-/// Guards against restarted processes of a large fleet that work with an old list for many seconds: an update that was
-/// published before they started counts as notified 6 s after it was.
+/// Guards against late first calls of restarted processes in a large fleet: an update that was published before they
+/// started counts as notified 6 s after its publication.
 #[test]
 fn restarted_processes_of_a_large_fleet_apply_a_missed_removal_within_seconds() {
     const PROCESSES: u64 = 8;
--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -329,7 +329,7 @@
             second.send(RECEIPT);
             assert_eq!(client.command()[0], "ok");
         } else {
-            // All nodes deduplicate writes of this class, so the client may be told to retry.
+            // All nodes deduplicate writes of this class, so a retry by the client is harmless and `-BUSY` is allowed.
             assert!(client.line().starts_with("-BUSY"));
             assert!(nodes.is_untouched());
         }
