Review, case 3: a second answer 4 ms late is enough between two data centres

Need: the case wrote its second answers 6 ms late, beyond the proxy's settle delay of 5 ms, so that it could pass for a matter of that figure alone. Change: 4 ms late, over the site's longest link (10 ms one way) with its jitter (26%), for 10 s in place of 6. The proxy is as it was.

--- a/review/standins/second.rs
+++ b/review/standins/second.rs
@@ -7,10 +7,10 @@
 use std::time::{Duration, Instant};
 
 /// One way between two data centres: the mean, and how far a message is off it at the most, as a part of it.
-const ONE_WAY: Duration = Duration::from_millis(8);
-const JITTER: f64 = 0.25;
+const ONE_WAY: Duration = Duration::from_millis(10);
+const JITTER: f64 = 0.26;
 /// How long after the answer its second copy is written.
-const SECOND_AFTER: Duration = Duration::from_millis(6);
+const SECOND_AFTER: Duration = Duration::from_millis(4);
 /// One answer in so many has a second copy.
 const ONE_IN: u64 = 50;
 
@@ -33,13 +33,13 @@
     let record = Record::new();
     let answers = Arc::new(AtomicU64::new(0));
     let seconds = Arc::new(AtomicU64::new(0));
-    // Three cache nodes in another data centre. What the proxy writes is with them some 8 ms later, and
+    // Three cache nodes in another data centre. What the proxy writes is with them some 10 ms later, and
     // the other way round; messages on a connection do not overtake one another.
     let nodes: Vec<_> = (0..3)
         .map(|n| {
             let (record, answers, seconds) = (record.clone(), answers.clone(), seconds.clone());
             node(move |stream| {
-                // The link from the proxy: what is read is handed on some 8 ms later.
+                // The link from the proxy: what is read is handed on some 10 ms later.
                 let (arriving, arrived) = std::sync::mpsc::channel::<(Instant, Request)>();
                 let incoming = stream.try_clone().unwrap();
                 std::thread::spawn(move || {
@@ -94,7 +94,7 @@
         .collect();
     let (proxy, _discovery) = Proxy::start(&Settings { proxies: 5, site: "durban", ..Settings::default() }, &nodes);
 
-    // Twelve clients, each with one request at a time on a connection of its own, for six seconds.
+    // Twelve clients, each with one request at a time on a connection of its own, for ten seconds.
     let wrong: Arc<Mutex<Vec<String>>> = Arc::default();
     let served_count = Arc::new(AtomicU64::new(0));
     let clients: Vec<_> = (0..12u64)
@@ -105,7 +105,7 @@
                 let mut reader = BufReader::new(stream.try_clone().unwrap());
                 let begun = Instant::now();
                 for number in 0.. {
-                    if begun.elapsed() > Duration::from_secs(6) {
+                    if begun.elapsed() > Duration::from_secs(10) {
                         return;
                     }
                     let (key, id) = (pack(c * 1_000 + number % 50), new_id());
