Review: a long value that breaks off takes the answers before it along

Need: the final answer of a request must not depend on the one behind it. The stand-ins' common part gets a function for socket options and the setting for cancelling, which the next cases use.

--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -292,16 +292,19 @@
     address
 }
 
-/// Closes a connection with a reset.
-pub fn reset(stream: &TcpStream) {
-    #[repr(C)]
-    struct Linger(i32, i32);
+/// Sets an option of a socket.
+pub fn set_option(fd: i32, level: i32, name: i32, value: &[i32]) {
     extern "C" {
-        fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
+        fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     }
+    unsafe { setsockopt(fd, level, name, value.as_ptr(), size_of_val(value) as u32) };
+}
+
+/// Closes a connection with a reset.
+pub fn reset(stream: &TcpStream) {
     use std::os::fd::AsRawFd;
     // SO_LINGER (13) at SOL_SOCKET (1), on and 0 s: the close that follows is a reset.
-    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, &Linger(1, 0), 8) };
+    set_option(stream.as_raw_fd(), 1, 13, &[1, 0]);
 }
 
 // ---- the proxy ----
@@ -315,21 +318,24 @@
     pub site: &'static str,
     /// The proxies of the deployment; the test starts one of them.
     pub proxies: u32,
+    /// `caps.cancelling`.
+    pub cancelling: bool,
 }
 
 impl Default for Settings {
     fn default() -> Settings {
-        Settings { memory_mb: 64, sockets: 512, window_ms: 1_000, site: "joburg", proxies: 1 }
+        Settings { memory_mb: 64, sockets: 512, window_ms: 1_000, site: "joburg", proxies: 1, cancelling: true }
     }
 }
 
 impl Settings {
     fn json(&self, index: u32) -> String {
         let (window, proxies) = (self.window_ms * 1_000_000, self.proxies);
-        let caps = "\"caps\":{\"attempts_cap\":5,\"cancelling\":true,\"conn_idle_ns\":5000000000,\
+        let caps = "\"caps\":{\"attempts_cap\":5,\"cancelling\":CANCELLING,\"conn_idle_ns\":5000000000,\
             \"connect_timeout_ns\":120000000,\"cpu_us_per_request\":0.0,\"cpu_us_per_s\":500000,\"max_open\":20000,\
             \"max_retry_after_ns\":1000000000,\"peer_messages\":false,\"probing\":true,\"retry_after\":true,\
-            \"second_copies\":true,\"streams_per_conn\":32}";
+            \"second_copies\":true,\"streams_per_conn\":32}"
+            .replace("CANCELLING", if self.cancelling { "true" } else { "false" });
         let classes = format!(
             "\"categories\":[{{\"name\":\"pack-lookup\",\"deadline_ns\":750000000,\"promise_ns\":300000000,\
              \"effect\":\"safe\",\"group\":\"all\",\"dedup_window_ns\":5000000000,\"late_value\":0.0,\"stream\":false,\
