--- a/review/standins/away.rs
+++ b/review/standins/away.rs
@@ -43,7 +43,11 @@
         .zip(&nodes)
         .map(|(i, at)| {
             let up = host(&format!("s-{i:08x}"), *at, settings.site);
-            if i == 0 { up.replace("\"up\"", "\"draining\"") } else { up }
+            if i == 0 {
+                up.replace("\"up\"", "\"draining\"")
+            } else {
+                up
+            }
         })
         .collect();
     discovery.set(hosts.join(","));
@@ -64,7 +68,8 @@
         }
         sleep_ms(20);
     }
-    let late = drained.lock().unwrap().iter().filter(|(at, _)| *at > told + LATEST_MS).cloned().collect::<Vec<_>>();
+    let late =
+        drained.lock().unwrap().iter().filter(|(at, _)| *at > told + LATEST_MS).cloned().collect::<Vec<_>>();
     let broken = late.iter().map(|(at, id)| {
         format!("{id} is sent to the draining node {:.0} ms after discovery had the change", at - told)
     });
--- a/review/standins/before.rs
+++ b/review/standins/before.rs
@@ -36,7 +36,10 @@
                     if breaks.lock().unwrap().contains_key(&request.id) {
                         let _ = (&stream).write_all(&bytes[..BROKEN_AT]);
                         sleep_ms(20);
-                        record.add(format!("node {n} resets the connection within the answer to {}", request.id));
+                        record.add(format!(
+                            "node {n} resets the connection within the answer to {}",
+                            request.id
+                        ));
                         reset(&stream);
                         return;
                     }
@@ -76,7 +79,8 @@
             }
             None => {
                 let ran = runs.lock().unwrap().contains(&write);
-                record.add(format!("client sees the end, {took:.0} ms after it sent {write}; no answer to it"));
+                record
+                    .add(format!("client sees the end, {took:.0} ms after it sent {write}; no answer to it"));
                 broken.push(format!(
                     "the write {write} has no answer: the connection ended (or the time was up) {took:.0} ms after \
                      it was sent; run by a cache node: {ran}"
@@ -86,9 +90,11 @@
         }
         // What becomes of the long read does not count.
         let second = answer(&mut reader);
-        record.add(format!("the long read {read}: {}", second.map_or("no whole answer".into(), |a| a.text())));
+        record
+            .add(format!("the long read {read}: {}", second.map_or("no whole answer".into(), |a| a.text())));
     }
     record.add(format!("{ROUNDS} writes, {served_writes} served; {broken_reads} long answers broke off"));
-    let verdict = if served_writes * 2 < ROUNDS { Err("too few writes were served".into()) } else { Ok(broken) };
+    let verdict =
+        if served_writes * 2 < ROUNDS { Err("too few writes were served".into()) } else { Ok(broken) };
     finish(&record, vec![proxy], verdict)
 }
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -324,7 +324,14 @@
 
 impl Default for Settings {
     fn default() -> Settings {
-        Settings { memory_mb: 64, sockets: 512, window_ms: 1_000, site: "joburg", proxies: 1, cancelling: true }
+        Settings {
+            memory_mb: 64,
+            sockets: 512,
+            window_ms: 1_000,
+            site: "joburg",
+            proxies: 1,
+            cancelling: true,
+        }
     }
 }
 
@@ -380,7 +387,8 @@
         let folder = PathBuf::from(std::env::var("SCRATCH").expect("SCRATCH"));
         // A free port; the proxy binds it a moment later.
         let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let seed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_nanos() as u64;
+        let seed =
+            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_nanos() as u64;
         let config = format!(
             "{{\"name\":\"n{index}\",\"listen\":\"{address}\",\"discovery\":\"{}\",\"seed\":\"{seed:016x}\",\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\
--- a/review/standins/halfway.rs
+++ b/review/standins/halfway.rs
@@ -19,7 +19,13 @@
 }
 
 /// Sends a request and waits for its answer for so long. Returns when its last byte was written, and the answer.
-fn ask(stream: &TcpStream, bytes: &[u8], patience_ms: u64, record: &Record, id: &str) -> (f64, Option<Answer>) {
+fn ask(
+    stream: &TcpStream,
+    bytes: &[u8],
+    patience_ms: u64,
+    record: &Record,
+    id: &str,
+) -> (f64, Option<Answer>) {
     let sent = match { stream }.write_all(bytes) {
         Ok(()) => record.add(format!("a kiosk has sent all of {id} ({} bytes)", bytes.len())),
         Err(e) => record.add(format!("a kiosk can't send {id}: {e}")),
@@ -44,7 +50,8 @@
                 let mut reader = BufReader::new(stream.try_clone().unwrap());
                 while let Some(request) = request(&mut reader) {
                     let (id, k) = (request.id.clone(), request.field("k").to_owned());
-                    let at = record.add(format!("node {n} begins {id} ({} bytes) k={k}", request.value.len()));
+                    let at =
+                        record.add(format!("node {n} begins {id} ({} bytes) k={k}", request.value.len()));
                     runs.lock().unwrap().insert(id.clone(), at);
                     if request.write {
                         let mut effects = effects.lock().unwrap();
@@ -110,7 +117,10 @@
                     let bytes = set(&key, &id, "swap-record", 600, &k, &value);
                     if ask(&stream, &bytes, 600, &record, &id).1.is_none() {
                         drop(stream);
-                        closed.lock().unwrap().insert(id.clone(), record.add(format!("a kiosk closes: {id}")));
+                        closed
+                            .lock()
+                            .unwrap()
+                            .insert(id.clone(), record.add(format!("a kiosk closes: {id}")));
                         sleep_ms(30);
                         let again = new_id();
                         stream = connect(second_at);
@@ -145,7 +155,9 @@
     for (id, at) in closed.lock().unwrap().iter() {
         if let Some(run) = runs.get(id).filter(|run| **run > at + 100.0 + SLACK_MS) {
             let late = run - at;
-            broken.push(format!("lost: write {id} is sent {late:.0} ms after its client closed the connection"));
+            broken.push(format!(
+                "lost: write {id} is sent {late:.0} ms after its client closed the connection"
+            ));
         }
     }
     for (k, effects) in effects.lock().unwrap().iter().filter(|(_, effects)| effects.len() > 1) {
--- a/review/standins/hedge.rs
+++ b/review/standins/hedge.rs
@@ -52,7 +52,9 @@
                 record.add(format!("client has for {id}: {text}"));
                 let (got, good) = (answer.as_ref().and_then(Answer::value)?, value(&key, &id));
                 let at = got.iter().zip(&good).position(|(a, b)| a != b)?;
-                Some(format!("{id} is served with a value that is not the one made for it, from byte {at} on"))
+                Some(format!(
+                    "{id} is served with a value that is not the one made for it, from byte {at} on"
+                ))
             })
         })
         .collect();
--- a/review/standins/second.rs
+++ b/review/standins/second.rs
@@ -92,7 +92,8 @@
             })
         })
         .collect();
-    let (proxy, _discovery) = Proxy::start(&Settings { proxies: 5, site: "durban", ..Settings::default() }, &nodes);
+    let (proxy, _discovery) =
+        Proxy::start(&Settings { proxies: 5, site: "durban", ..Settings::default() }, &nodes);
 
     // Twelve clients, each with one request at a time on a connection of its own, for ten seconds.
     let wrong: Arc<Mutex<Vec<String>>> = Arc::default();
