--- a/crates/proxy/src/front/clients.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -1,11 +1,14 @@
 //! Client connections: the listener, the parsing of commands, and the answers, in the order of the commands.
 
+mod timeouts;
+mod values;
+
 use crate::platform::config::Config;
 use crate::request::{Answer, Query, ReplySlot};
 use calicosaddle::api::{Nanos, RequestId};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
-use resp::{BodyFormat, Command, CommandParser, MemoryBudget, Protocol, Reply, MAX_BUFFERED_VALUE_BYTES};
+use resp::{Command, CommandParser, MemoryBudget, Protocol, MAX_BUFFERED_VALUE_BYTES};
 use session::{CommandOutcome, Session, Users};
 use slab::Slab;
 use std::borrow::Cow;
@@ -24,27 +27,6 @@
 const MAX_UNREAD_BYTES: usize = 4 * MAX_BUFFERED_VALUE_BYTES;
 /// The capacity of the output buffer that an idle connection keeps.
 const IDLE_BUFFER_BYTES: usize = 4 << 10;
-/// How long after it connected a client may have sent no command, and how long a command may be incomplete. A client may
-/// take 2 s to write a command, and a slow one has to be disconnected within 3 s.
-const COMMAND_TIMEOUT: Nanos = 2_400 * MS;
-/// How long the value of a command may take. Pauses in it are limited to [`COMMAND_TIMEOUT`].
-const VALUE_TIMEOUT: Nanos = 30_000 * MS;
-/// One client may have unread bytes of a long value up to the free space for unread answers divided by this, ...
-const UNREAD_SHARE_DIVISOR: usize = 4;
-/// ... and up to this many bytes.
-const MAX_UNREAD_SHARE_BYTES: usize = 1 << 20;
-/// Time without reading any of its answers after which a client is disconnected.
-const STALL_TIMEOUT: Nanos = 5_000 * MS;
-/// How long a client may be silent between requests.
-const IDLE_TIMEOUT: Nanos = 10_000 * MS;
-/// The idle timeouts while idle clients that have sent requests hold more than a quarter of the allowed connections: for
-/// clients with one request so far, and for clients with more. Otherwise clients that send one request and stay
-/// connected, or connection pools larger than needed, would take all connections; where upstream proxies may open only a
-/// limited number, no client with a request could then connect. The cost is that clients with a request every few
-/// seconds reconnect each time.
-const CROWDED_IDLE_TIMEOUTS: [Nanos; 2] = [250 * MS, 2_000 * MS];
-/// How long a client has to close its side after the last answer.
-const LINGER_TIMEOUT: Nanos = 250 * MS;
 /// The maximum number of bytes read and dropped after the last answer.
 const MAX_LINGER_BYTES: usize = 256 << 10;
 /// The maximum number of consecutive reads of one connection before others are served.
@@ -533,70 +515,6 @@
         self.advance(slot.client);
     }
 
-    /// How many bytes of a long value one client may have unread: a fraction of the free space, so that a few slow
-    /// clients get much each and many get little.
-    fn unread_share(&self) -> usize {
-        (self.max_unread_bytes.saturating_sub(self.unread_bytes) / UNREAD_SHARE_DIVISOR)
-            .clamp(MAX_BUFFERED_VALUE_BYTES, MAX_UNREAD_SHARE_BYTES)
-    }
-
-    /// The client of a slot, and the position of the slot among those that are not answered completely.
-    fn find_slot(&mut self, slot: ReplySlot) -> Option<(&mut Client, usize)> {
-        let client = self.clients.get_mut(slot.client)?;
-        let position = slot.number.checked_sub(client.first_slot)? as usize;
-        (position < client.slots.len()).then_some((client, position))
-    }
-
-    /// Starts to stream a long value as the answer to a request.
-    pub fn begin_value(&mut self, slot: ReplySlot, format: BodyFormat, length: usize) {
-        let Some((client, position)) = self.find_slot(slot) else { return };
-        let Slot::Waiting(id, protocol) = client.slots[position] else { return };
-        let mut head = Vec::new();
-        Reply::write_head(format, length, protocol, &mut head);
-        client.slots[position] = Slot::Streaming { id, protocol, queued: Vec::new(), paused: false };
-        self.append_value(slot, &head);
-    }
-
-    /// Appends bytes to a streamed value. Returns false if the sender has to pause until [`ClientEvent::ReadyForMore`].
-    pub fn append_value(&mut self, slot: ReplySlot, bytes: &[u8]) -> bool {
-        let share = self.unread_share();
-        let Some((client, position)) = self.find_slot(slot) else { return true };
-        let (unread, queued_bytes) = (client.unread_bytes() + bytes.len(), client.queued_bytes);
-        let Slot::Streaming { queued, paused, .. } = &mut client.slots[position] else { return true };
-        let has_room = unread <= share;
-        *paused = !has_room;
-        if position == 0 {
-            client.output.extend_from_slice(bytes);
-        } else {
-            queued.extend_from_slice(bytes);
-            client.queued_bytes = queued_bytes + bytes.len();
-        }
-        self.unread_bytes += bytes.len();
-        self.advance(slot.client);
-        has_room
-    }
-
-    /// Completes a streamed value.
-    pub fn finish_value(&mut self, slot: ReplySlot, reply: &Reply) {
-        let Some((client, position)) = self.find_slot(slot) else { return };
-        let Slot::Streaming { protocol, queued, .. } = &mut client.slots[position] else { return };
-        let length_before = queued.len();
-        reply.write_tail(*protocol, queued);
-        let (tail_length, queued) = (queued.len() - length_before, std::mem::take(queued));
-        client.queued_bytes += tail_length;
-        client.slots[position] = Slot::Ready(queued);
-        self.unread_bytes += tail_length;
-        self.advance(slot.client);
-    }
-
-    /// Closes the connection of a value that can't be completed, which is how the client recognises the failure.
-    pub fn abort_value(&mut self, slot: ReplySlot) {
-        if let Some((client, position)) = self.find_slot(slot) {
-            client.slots.remove(position);
-            self.remove(slot.client);
-        }
-    }
-
     /// Moves the answers that are next in order to the output.
     fn advance(&mut self, key: usize) {
         let Some(client) = self.clients.get_mut(key) else { return };
@@ -709,50 +627,6 @@
         }
     }
 
-    /// Disconnects clients that have exceeded a time limit.
-    pub fn sweep(&mut self, now: Nanos) {
-        let exceeded = |since: Nanos, timeout: Nanos| now.saturating_sub(since) > timeout;
-        let is_slow = |c: &Client, since: Nanos| match c.parser.in_value() {
-            // A command that waits for memory waits for this proxy, not for its client.
-            true => {
-                !c.parser.waits_for_memory()
-                    && (exceeded(c.active_at, COMMAND_TIMEOUT) || exceeded(since, VALUE_TIMEOUT))
-            }
-            false => exceeded(since, COMMAND_TIMEOUT),
-        };
-        let (mut expired, mut slow) = (Vec::new(), Vec::new());
-        let idle_count = self.clients.iter().filter(|(_, c)| c.request_count > 0 && c.is_idle()).count();
-        let is_crowded = idle_count > self.max_clients / 4;
-        let idle_timeout = |c: &Client| match c.request_count {
-            1 if is_crowded => CROWDED_IDLE_TIMEOUTS[0],
-            2.. if is_crowded => CROWDED_IDLE_TIMEOUTS[1],
-            _ => IDLE_TIMEOUT,
-        };
-        for (key, c) in &self.clients {
-            // Counted from the first write that the socket did not accept: an answer that took longer than this may not
-            // have been offered to its client yet.
-            let is_stalled = c.blocked_since.is_some_and(|since| exceeded(since, STALL_TIMEOUT));
-            let is_silent =
-                c.awaiting_first_command_since.is_some_and(|since| exceeded(since, COMMAND_TIMEOUT))
-                    || exceeded(c.active_at, idle_timeout(c));
-            if is_stalled
-                || c.lingering_since.is_some_and(|since| exceeded(since, LINGER_TIMEOUT))
-                || (is_silent && c.is_closable())
-            {
-                expired.push(key);
-            } else if !c.closing && c.partial_since.is_some_and(|since| is_slow(c, since)) {
-                slow.push(key);
-            }
-        }
-        expired.into_iter().for_each(|key| self.remove(key));
-        for key in slow {
-            if let Some(client) = self.clients.get_mut(key) {
-                client.closing = true;
-            }
-            self.answer_directly(key, b"-ERR Protocol error: the command took too long\r\n");
-        }
-    }
-
     /// Stops serving clients: closes the listener, and each connection once it has no open request.
     pub fn stop(&mut self, config: &Config, buffer: &mut [u8], now: Nanos) {
         self.listener = None;
