Long writes are no longer held up by clients that stop within one

Cause: a value reserved its whole stated length when its head was read, so four clients held a quarter of the memory with 4 KB sent; and the wait for memory had no limit. While it lasted the connection was not read, so neither the client's time nor its close was noticed.

Change: a value reserves memory as it arrives, in steps as large as what it holds. The oldest incomplete value has priority, so that values which grow side by side can't all be stuck; a pause of 100 ms loses it. A wait ends after a quarter of the client's stated time with a refusal, counts as time since the arrival, and ends at once when the client shuts down its side.

--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -2,6 +2,7 @@
 
 mod timeouts;
 mod values;
+mod waiting;
 
 use crate::platform::config::Config;
 use crate::request::{Answer, Query, ReplySlot};
@@ -16,6 +17,7 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
+use waiting::MemoryWait;
 
 const MS: Nanos = 1_000_000;
 /// The reply to a refused command. Nothing has been done for the command, so a retry is safe.
@@ -38,9 +40,18 @@
 #[derive(Debug)]
 pub enum ClientEvent {
     /// A request has arrived.
-    Query(RequestId, ReplySlot, Rc<Query>),
-    /// A command of this class was refused before it became a request: its value did not fit in memory, or too many
-    /// commands were open.
+    Query {
+        /// The request's id within this proxy.
+        id: RequestId,
+        /// Where its answer belongs.
+        slot: ReplySlot,
+        /// The client's command.
+        query: Rc<Query>,
+        /// Since when its connection was not read, if its value waited for memory. It may have arrived then.
+        delayed_since: Option<Nanos>,
+    },
+    /// A command of this class was refused before it became a request: there was no memory for its value, its client
+    /// left meanwhile, or too many commands were open.
     Rejected(u32),
     /// The client closed its sending side while this request was open. It may still read the answer: attempts in flight
     /// may complete, but no new one may be sent.
@@ -105,8 +116,10 @@
     dropped_bytes: usize,
     /// Reading is suspended because too many bytes of answers are unread.
     read_suspended: bool,
-    /// Input behind the head of a command whose value waits for memory.
+    /// Input behind the part of a command whose value waits for memory.
     pending: Vec<u8>,
+    /// The value of the command that is being read waits for memory, or has waited.
+    memory_wait: Option<MemoryWait>,
 }
 
 impl Client {
@@ -315,6 +328,7 @@
                 dropped_bytes: 0,
                 read_suspended: false,
                 pending: Vec::new(),
+                memory_wait: None,
             });
         }
         Ok(())
@@ -368,10 +382,14 @@
                     }
                     // A short read has emptied the socket, except for a possible end of the stream.
                     if n < buffer.len() && !closed {
+                        self.has_caught_up(key);
                         return;
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.has_caught_up(key);
+                    return;
+                }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => {
                     self.remove(key);
@@ -410,6 +428,8 @@
                     };
                     if client.parser.waits_for_memory() {
                         client.pending.extend_from_slice(input);
+                        let begin = || MemoryWait::begin(&client.parser, config, now);
+                        client.memory_wait.get_or_insert_with(begin);
                         self.waiting_for_memory.push_back(key);
                         return;
                     }
@@ -427,24 +447,6 @@
         }
     }
 
-    /// Resumes connections whose commands waited for memory, in the order in which they began to wait, as far as there is
-    /// memory.
-    pub fn resume_waiting(&mut self, config: &Config, now: Nanos) {
-        while let Some(key) = self.waiting_for_memory.front().copied() {
-            // The key may belong to another connection by now.
-            if let Some(client) = self.clients.get_mut(key).filter(|c| c.parser.waits_for_memory()) {
-                if !client.parser.retry_reservation() {
-                    return;
-                }
-                client.active_at = now;
-                let pending = std::mem::take(&mut client.pending);
-                self.parse_input(key, &pending, config, now);
-                self.pending_reads.push(key);
-            }
-            self.waiting_for_memory.pop_front();
-        }
-    }
-
     fn handle_command(&mut self, key: usize, command: Command, config: &Config) {
         let Some(client) = self.clients.get_mut(key) else { return };
         if let CommandOutcome::Answer(answer) = client.session.handle(&command, &self.users) {
@@ -456,25 +458,29 @@
             self.answer_directly(key, &answer.bytes);
             return;
         }
-        let is_complete = command.is_complete();
+        let memory_wait = client.memory_wait.take();
+        // The client may have left long ago: the end of its stream could not be seen while the value waited.
+        let has_left = memory_wait.is_some() && client.is_at_end_of_input();
+        let may_be_sent = command.is_complete() && !has_left && client.slots.len() < self.max_open_commands;
         let query = Query::parse(command, config).map_err(Cow::from).and_then(|query| {
             client.session.check_tenant(query.tenant, &self.users).map_err(Cow::from).map(|()| query)
         });
         match query {
             // Nothing has been done for the command yet, so refusing it is safe.
-            Ok(query) if !is_complete || client.slots.len() >= self.max_open_commands => {
+            Ok(query) if !may_be_sent => {
                 self.events.push_back(ClientEvent::Rejected(query.class));
                 self.answer_directly(key, BUSY_REPLY);
             }
             Ok(query) => {
-                let reply_slot =
-                    ReplySlot { client: key, number: client.first_slot + client.slots.len() as u64 };
+                let number = client.first_slot + client.slots.len() as u64;
+                let slot = ReplySlot { client: key, number };
                 let id = self.next_id;
                 self.next_id += 1;
                 client.slots.push_back(Slot::Waiting(id, client.session.protocol()));
                 (client.awaiting_first_command_since, client.request_count) =
                     (None, (client.request_count + 1).min(2));
-                self.events.push_back(ClientEvent::Query(id, reply_slot, Rc::new(query)));
+                let delayed_since = memory_wait.map(|wait| wait.since);
+                self.events.push_back(ClientEvent::Query { id, slot, query: Rc::new(query), delayed_since });
             }
             Err(answer) => self.answer_directly(key, answer.as_bytes()),
         }
@@ -675,7 +681,7 @@
             clients.clients.iter().map(|(key, _)| key).collect::<Vec<_>>().into_iter().for_each(|key| {
                 clients.read(key, false, &config, &mut buffer, 0);
             });
-            if let Some(ClientEvent::Query(_, slot, _)) = clients.next_event() {
+            if let Some(ClientEvent::Query { slot, .. }) = clients.next_event() {
                 break slot;
             }
         };
--- a/crates/proxy/src/front/clients/timeouts.rs
+++ b/crates/proxy/src/front/clients/timeouts.rs
@@ -24,9 +24,10 @@
 impl Clients {
     /// Disconnects clients that have exceeded a time limit.
     pub fn sweep(&mut self, now: Nanos) {
+        self.yield_priority_of_paused(now);
         let exceeded = |since: Nanos, timeout: Nanos| now.saturating_sub(since) > timeout;
         let is_slow = |c: &Client, since: Nanos| match c.parser.in_value() {
-            // A command that waits for memory waits for this proxy, not for its client.
+            // A command that waits for memory waits for this proxy, not for its client, and has a limit of its own.
             true => {
                 !c.parser.waits_for_memory()
                     && (exceeded(c.active_at, COMMAND_TIMEOUT) || exceeded(since, VALUE_TIMEOUT))
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -320,6 +320,9 @@
                 self.clients.flush(key, self.event_loop.now);
             }
             let now = self.event_loop.now;
+            if is_closed(event) {
+                self.clients.input_ended(key, &self.config, now);
+            }
             self.clients.read(key, is_closed(event), &self.config, &mut self.buffer, now);
             self.process_pending();
         }
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -16,7 +16,9 @@
 
     pub(crate) fn handle_client_event(&mut self, event: clients::ClientEvent) {
         match event {
-            clients::ClientEvent::Query(id, slot, query) => self.start_request(id, slot, query),
+            clients::ClientEvent::Query { id, slot, query, delayed_since } => {
+                self.start_request(id, slot, query, delayed_since);
+            }
             clients::ClientEvent::Rejected(class) => {
                 self.observers.notify(Notification::Arrived);
                 self.observers.notify(Notification::Answered(FinalResult::Refused, class));
@@ -27,8 +29,14 @@
         }
     }
 
-    /// Leads a request through the gates to the balancer.
-    fn start_request(&mut self, id: RequestId, slot: ReplySlot, query: Rc<Query>) {
+    /// Leads a request through the gates to the balancer. Its connection may not have been read since `delayed_since`.
+    fn start_request(
+        &mut self,
+        id: RequestId,
+        slot: ReplySlot,
+        query: Rc<Query>,
+        delayed_since: Option<Nanos>,
+    ) {
         self.observers.notify(Notification::Arrived);
         let class = query.class;
         if query.write {
@@ -38,7 +46,8 @@
             self.write_answer(slot, class, Answer::Busy(0), FinalResult::Refused);
             return;
         }
-        let (arrived, now) = (self.event_loop.earliest_arrival, self.event_loop.now);
+        let (earliest, now) = (self.event_loop.earliest_arrival, self.event_loop.now);
+        let arrived = delayed_since.map_or(earliest, |since| since.min(earliest));
         match self.requests.insert(id, slot, query, arrived, now) {
             None => self.write_answer(slot, class, Answer::IdInUse, FinalResult::Failed),
             Some((request, deadline)) => {
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -86,6 +86,18 @@
     }
 }
 
+/// The time-out that a client stated, capped at its class's maximum, which bounds how long state is kept.
+fn capped_timeout(timeout: Nanos, class: usize, config: &Config) -> Nanos {
+    timeout.min(config.settings.classes.get(class).map_or(0, |c| c.deadline))
+}
+
+/// The time-out of a command whose value is not complete, from its fourth argument; `None` if that is invalid.
+pub fn stated_timeout(fields: &[u8], config: &Config) -> Option<Nanos> {
+    let fields = Fields::parse(std::str::from_utf8(fields).ok()?, config).ok()?;
+    let (timeout, _) = fields.timeout?;
+    Some(capped_timeout(timeout, fields.class?, config))
+}
+
 impl Query {
     /// Parses a `CACHE.GET` or `CACHE.SET` command.
     ///
@@ -118,8 +130,7 @@
         if keyed && !has_dedup_key {
             return Err("-ERR k is missing\r\n");
         }
-        // The timeout stated by the client is capped at its class's maximum, which bounds how long state is kept.
-        let timeout = timeout.min(config.settings.classes.get(class).map_or(0, |c| c.deadline));
+        let timeout = capped_timeout(timeout, class, config);
         let name = std::str::from_utf8(command.arg(1)).unwrap_or_default();
         let hex = if name.len() <= 16 { u64::from_str_radix(name, 16).ok() } else { None };
         let key = hex.unwrap_or_else(|| server_id(&String::from_utf8_lossy(command.arg(1))));
--- a/crates/proxy/tests/long.rs
+++ b/crates/proxy/tests/long.rs
@@ -188,6 +188,86 @@
     assert!(proxy.status("VmHWM") / 1024 < 16);
 }
 
+/// A proxy whose long writes may take 4 MiB together, a quarter of its memory.
+fn with_room_for_one_long_write(node: &Server) -> Proxy {
+    Proxy::with(node, |c| c["limits"]["memory_mb"] = json!(16))
+}
+
+/// Sends a write that takes nearly all the memory for writes, and stays unanswered at the node.
+fn fill_memory(proxy: &Proxy, node: &Server) -> (Peer, Peer) {
+    let mut client = proxy.client();
+    client.set(1, "put", 15_000, &value_text(VALUE_BYTES - 100_000, 0));
+    let (at_node, _) = node.command();
+    (client, at_node)
+}
+
+// Guards against clients that stop within a long value and hold the memory of what they have not sent.
+#[test]
+fn clients_that_stop_within_a_long_write_do_not_hold_up_other_writes() {
+    let node = Server::start();
+    let proxy = with_room_for_one_long_write(&node);
+    let value = value_text(VALUE_BYTES, 0);
+    let bytes = encode(&["CACHE.SET", "1", "stopped", "c=put,d=15000,k=5c0f", &value]);
+    let mut stopped: Vec<Peer> = (0..4).map(|_| proxy.client()).collect();
+    for client in &mut stopped {
+        client.send(&bytes[..1_000]);
+    }
+    let (mut writer, value) = (proxy.client(), value_text(100_000, 0));
+    writer.set(2, "put", 15_000, &value);
+    let (mut at_node, command) = node.command();
+    assert!(command[4] == value, "the value differs from the one sent");
+    at_node.send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+    assert_eq!(writer.command()[0], "ok");
+    // None of the four had to be disconnected first.
+    assert!(stopped.iter_mut().all(|client| !client.has_input()));
+    for client in &mut stopped {
+        assert!(client.line().starts_with("-ERR Protocol error"));
+    }
+}
+
+// Guards against a write that waits for memory for as long as others hold it, past its own time.
+#[test]
+fn a_long_write_that_finds_no_memory_in_a_quarter_of_its_time_is_refused() {
+    let node = Server::start();
+    let proxy = with_room_for_one_long_write(&node);
+    let (mut first, mut at_node) = fill_memory(&proxy, &node);
+    let mut second = proxy.client();
+    second.set(2, "put", 1_000, &value_text(1 << 20, 0));
+    assert!(second.line().starts_with("-BUSY"));
+    // The first write still holds the memory, and nothing of the second was sent.
+    assert!(node.is_untouched() && !first.has_input());
+    at_node.send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+    assert_eq!(first.command()[0], "ok");
+    second.set(2, "put", 15_000, "short");
+    let mut peers = vec![at_node];
+    let (i, command) = node.any(&mut peers);
+    assert_eq!(command[4], "short");
+    peers[i].send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+    assert_eq!(second.command()[0], "ok");
+}
+
+// Guards against a write that is sent after its client closed the connection, while the value waited for memory.
+#[test]
+fn a_long_write_whose_client_leaves_while_it_waits_for_memory_is_not_sent() {
+    let node = Server::start();
+    let proxy = with_room_for_one_long_write(&node);
+    let (mut first, mut at_node) = fill_memory(&proxy, &node);
+    let mut second = proxy.client();
+    second.set(2, "put", 15_000, &value_text(200_000, 0));
+    drop(second);
+    // Far below the time for which the write may wait, and well past the time in which a closed client may be served.
+    std::thread::sleep(Duration::from_millis(300));
+    at_node.send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+    assert_eq!(first.command()[0], "ok");
+    let mut third = proxy.client();
+    third.set(3, "put", 15_000, &value_text(200_000, 0));
+    let mut peers = vec![at_node];
+    let (i, command) = node.any(&mut peers);
+    assert_eq!(command[1], "0000000000000003", "the write of a client that had left was sent");
+    peers[i].send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+    assert_eq!(third.command()[0], "ok");
+}
+
 #[test]
 fn a_client_may_send_a_long_value_slowly_but_not_stall() {
     let node = Server::start();
--- a/crates/resp/src/command.rs
+++ b/crates/resp/src/command.rs
@@ -22,7 +22,8 @@
     count: usize,
     /// False if a value was dropped because the memory budget was exhausted.
     complete: bool,
-    reservations: Vec<Reservation>,
+    /// The memory of a long value.
+    reservation: Option<Reservation>,
 }
 
 impl Command {
@@ -53,11 +54,18 @@
     Count(LengthParser),
     Dollar,
     Length(LengthParser),
-    /// A value of this many bytes waits for memory.
-    WaitForMemory(usize),
+    /// The next `remaining` bytes belong to an argument, and there is memory for the first `room` of them.
     Body {
         remaining: usize,
-        keep: bool,
+        room: usize,
+    },
+    /// A value of which so many bytes are missing waits for memory.
+    WaitForMemory {
+        remaining: usize,
+    },
+    /// The next `remaining` bytes belong to a value that is dropped.
+    Skip {
+        remaining: usize,
     },
     Cr,
     Lf,
@@ -86,40 +94,73 @@
 
     /// True if the input so far ends within the command's value.
     pub fn in_value(&self) -> bool {
-        use CommandState::{Body, Cr, Lf, WaitForMemory};
-        self.command.count == VALUE_INDEX && matches!(self.state, WaitForMemory(_) | Body { .. } | Cr | Lf)
+        use CommandState::{Body, Cr, Lf, Skip, WaitForMemory};
+        self.command.count == VALUE_INDEX
+            && matches!(self.state, WaitForMemory { .. } | Body { .. } | Skip { .. } | Cr | Lf)
+    }
+
+    /// The argument at `index` of the command that is being read, or an empty slice if it is not complete.
+    pub fn partial_arg(&self, index: usize) -> &[u8] {
+        self.command.arg(index)
     }
 
-    /// True if no input is taken until there is memory for the next value.
+    /// True if no input is taken until there is memory for more of the value.
     pub fn waits_for_memory(&self) -> bool {
-        matches!(self.state, CommandState::WaitForMemory(_))
+        matches!(self.state, CommandState::WaitForMemory { .. })
     }
 
-    /// Tries again to reserve the memory for the next value; returns true unless the parser still waits for
-    /// memory.
+    /// Tries again to reserve memory for more of the value; returns true unless the parser still waits for memory.
     pub fn retry_reservation(&mut self) -> bool {
-        if let CommandState::WaitForMemory(length) = self.state {
-            self.begin_argument(length);
+        if let CommandState::WaitForMemory { remaining } = self.state {
+            self.reserve_step(remaining);
         }
         !self.waits_for_memory()
     }
 
+    /// Gives up the value that waits for memory: what has arrived of it is dropped, and so is the rest as it arrives.
+    pub fn drop_value(&mut self) {
+        if let CommandState::WaitForMemory { remaining } = self.state {
+            self.skip_value(remaining);
+        }
+    }
+
+    /// Lets the values of other connections grow before the incomplete one of this connection.
+    pub fn yield_priority(&mut self) {
+        self.command.reservation.iter_mut().for_each(Reservation::yield_priority);
+    }
+
     /// Takes input up to the end of a command; returns the number of bytes taken, and the command once it is
     /// complete. Stops early, possibly without taking a byte, when a value has to wait for memory.
     pub fn feed(&mut self, input: &[u8]) -> Result<(usize, Option<Command>), ProtocolError> {
         let mut at = 0;
         while at < input.len() && !self.waits_for_memory() {
-            if let CommandState::Body { remaining, keep } = &mut self.state {
-                let part = &input[at..input.len().min(at + *remaining)];
-                if *keep {
+            let available = &input[at..];
+            match &mut self.state {
+                CommandState::Body { remaining, room: 0 } => {
+                    let remaining = *remaining;
+                    self.reserve_step(remaining);
+                    continue;
+                }
+                CommandState::Body { remaining, room } => {
+                    let part = &available[..available.len().min(*room)];
                     self.command.bytes.extend_from_slice(part);
+                    at += part.len();
+                    (*remaining, *room) = (*remaining - part.len(), *room - part.len());
+                    if *remaining == 0 {
+                        self.state = CommandState::Cr;
+                    }
+                    continue;
                 }
-                at += part.len();
-                *remaining -= part.len();
-                if *remaining == 0 {
-                    self.state = CommandState::Cr;
+                CommandState::Skip { remaining } => {
+                    let skipped = available.len().min(*remaining);
+                    at += skipped;
+                    *remaining -= skipped;
+                    if *remaining == 0 {
+                        self.state = CommandState::Cr;
+                    }
+                    continue;
                 }
-                continue;
+                _ => {}
             }
             let byte = input[at];
             at += 1;
@@ -175,27 +216,56 @@
         Ok(false)
     }
 
-    /// Reserves memory for an argument of this length, and decides whether to store, drop or delay it.
+    /// Begins an argument of this length. A long one gets its memory as it arrives.
     fn begin_argument(&mut self, length: usize) {
-        let mut keep = true;
-        if length > MAX_SHORT_ARG_BYTES {
-            match self.budget.reserve(length) {
-                Some(reservation) => {
-                    self.command.reservations.push(reservation);
-                    self.command.bytes.reserve_exact(length);
-                }
-                // A streamed value that fits the budget is not read on: its sender waits, and it takes no
-                // memory here.
-                None if length > MAX_BUFFERED_VALUE_BYTES && length <= self.budget.capacity() => {
-                    self.state = CommandState::WaitForMemory(length);
-                    return;
-                }
-                // The value is read to its end but dropped, so that the command can be answered with an
-                // error. Otherwise its sender would wait without an answer.
-                None => (keep, self.command.complete) = (false, false),
+        let is_long = length > MAX_SHORT_ARG_BYTES;
+        self.state = match length {
+            0 => CommandState::Cr,
+            _ if is_long => CommandState::Body { remaining: length, room: 0 },
+            _ => CommandState::Body { remaining: length, room: length },
+        };
+        if is_long {
+            self.command.reservation = Some(self.budget.begin(length));
+        }
+        if length > self.budget.capacity() && is_long {
+            self.skip_value(length);
+        }
+    }
+
+    /// Reserves memory for more of a value of which `remaining` bytes are missing. A long value waits if there is none,
+    /// and a short one is dropped.
+    fn reserve_step(&mut self, remaining: usize) {
+        let step = self.command.reservation.as_mut().and_then(Reservation::grow);
+        let length = self.value_bytes() + remaining;
+        match step {
+            Some(room) => {
+                self.command.bytes.reserve_exact(room);
+                self.state = CommandState::Body { remaining, room };
             }
+            // A value that is streamed is not read on: its sender waits.
+            None if length > MAX_BUFFERED_VALUE_BYTES => {
+                self.state = CommandState::WaitForMemory { remaining };
+            }
+            None => self.skip_value(remaining),
         }
-        self.state =
-            if length == 0 { CommandState::Cr } else { CommandState::Body { remaining: length, keep } };
+    }
+
+    /// Drops a value. It is still read to its end, so that the command can be answered with an error; otherwise its
+    /// sender would wait without an answer.
+    fn skip_value(&mut self, remaining: usize) {
+        let value_start = self.command.bytes.len() - self.value_bytes();
+        self.command.bytes.truncate(value_start);
+        self.command.bytes.shrink_to_fit();
+        (self.command.reservation, self.command.complete) = (None, false);
+        self.state = CommandState::Skip { remaining };
+    }
+
+    /// How many bytes of the argument that is being read have been stored.
+    fn value_bytes(&self) -> usize {
+        let complete_args = match self.command.count {
+            0 => 0,
+            count => self.command.ends[count - 1] as usize,
+        };
+        self.command.bytes.len() - complete_args
     }
 }
--- a/crates/resp/tests/long.rs
+++ b/crates/resp/tests/long.rs
@@ -146,3 +146,68 @@
     let mut small = CommandParser::new(MemoryBudget::new(MAX_BUFFERED_VALUE_BYTES));
     assert!(!small.feed(&command).expect("parses").1.expect("complete").is_complete());
 }
+
+/// The head of a command with a value of this many bytes.
+fn command_head(length: usize) -> Vec<u8> {
+    format!("*5\r\n$1\r\na\r\n$1\r\nb\r\n$1\r\nc\r\n$1\r\nd\r\n${length}\r\n").into_bytes()
+}
+
+// Guards against values that reserve memory for bytes that have not arrived.
+#[test]
+fn an_incomplete_value_holds_at_most_twice_the_memory_of_what_has_arrived() {
+    let length = MAX_STREAMED_VALUE_BYTES;
+    let budget = MemoryBudget::new(2 * length);
+    let mut parser = CommandParser::new(budget.clone());
+    parser.feed(&command_head(length)).expect("parses");
+    let value = value(length);
+    let mut arrived = 0;
+    for part in value.chunks(10_000) {
+        parser.feed(part).expect("parses");
+        arrived += part.len();
+        let held = 2 * length - budget.available();
+        assert!(held >= arrived && held <= 2 * arrived, "{held} bytes are held for {arrived}");
+    }
+    drop(parser);
+    assert_eq!(budget.available(), 2 * length);
+}
+
+/// Feeds commands by turns until all are complete or wait for memory; returns which were completed with their values.
+fn feed_by_turns(parsers: &mut [CommandParser], values: &mut [&[u8]]) -> Vec<bool> {
+    let mut complete = vec![false; parsers.len()];
+    for _ in 0..1_000 {
+        for (i, parser) in parsers.iter_mut().enumerate() {
+            parser.retry_reservation();
+            let part = &values[i][..values[i].len().min(5_000)];
+            let (used, command) = parser.feed(part).expect("parses");
+            values[i] = &values[i][used..];
+            complete[i] |= command.is_some_and(|c| c.is_complete());
+        }
+    }
+    complete
+}
+
+// Guards against values that grow side by side until none of them can be completed.
+#[test]
+fn values_that_grow_side_by_side_in_too_little_memory_are_all_completed() {
+    const COUNT: usize = 4;
+    let command = [command_head(200_000), value(200_000), b"\r\n".to_vec()].concat();
+    let budget = MemoryBudget::new(210_000);
+    let mut parsers: Vec<_> = (0..COUNT).map(|_| CommandParser::new(budget.clone())).collect();
+    let complete = feed_by_turns(&mut parsers, &mut [&command[..]; COUNT]);
+    assert_eq!(complete, [true; COUNT]);
+    assert_eq!(budget.available(), 210_000);
+}
+
+// Guards against a paused value that keeps memory free for itself while others wait.
+#[test]
+fn a_paused_value_that_gives_up_its_priority_does_not_hold_up_others() {
+    let command = [command_head(200_000), value(200_000), b"\r\n".to_vec()].concat();
+    let budget = MemoryBudget::new(210_000);
+    let mut paused = CommandParser::new(budget.clone());
+    paused.feed(&command[..1_000]).expect("parses");
+    let mut parsers = [CommandParser::new(budget)];
+    let mut rest = [&command[..]];
+    assert_eq!(feed_by_turns(&mut parsers, &mut rest), [false]);
+    paused.yield_priority();
+    assert_eq!(feed_by_turns(&mut parsers, &mut rest), [true]);
+}
