The check for second replies leaves equal values alone where they are usual

Change: a copy is told by its content only where consecutive replies are known to differ (16 compared, at most one in 1,000 equal, after reads and after writes apart). The rule on round trips speaks from eight responses, those of all boxes while a box has fewer, and from exchanges of 5 ms on, below which the delays of the scheduler are as long.

--- a/crates/pipeline/src/foreign_reply.rs
+++ b/crates/pipeline/src/foreign_reply.rs
@@ -2,18 +2,24 @@
 //!
 //! RESP replies carry no ids. A second copy of a reply that arrives once the next command is written passes for the reply
 //! to that command, and so do all replies behind it on the connection for the commands behind theirs. Two things tell a
-//! foreign reply: it may come sooner than the box can answer, and a copy is equal to the reply before it. Neither is used
-//! before the box has shown how soon it answers.
+//! foreign reply: it may come sooner than the box can answer, and a copy is equal to the reply before it. Where equal
+//! replies are usual, as receipts and refusals are, they prove nothing.
 
-use crate::Nanos;
+use crate::{BoxLatencies, LatencyContext, Nanos};
 
 /// A reply that comes sooner than this part of the fastest exchange with its box is foreign: it would have taken less
 /// than a round trip.
 const ROUND_TRIP_DIVISOR: Nanos = 4;
+/// The fewest responses of a box from which a round trip to it is estimated.
+const MIN_RESPONSES: u32 = 8;
+/// Exchanges that are faster than this tell nothing: the delays of the machine's scheduler are as long.
+const MIN_EXCHANGE: Nanos = 5_000_000;
 /// A reply that is equal to the one before it and comes sooner than this part of the fastest response is a second copy.
 const COPY_DIVISOR: Nanos = 2;
-/// The fewest responses from which a round trip is estimated.
-const MIN_RESPONSES: u32 = 4;
+/// The fewest replies from which it is known whether values differ.
+const MIN_COMPARED: u64 = 16;
+/// Values differ if at most one in so many replies is equal to the one before it.
+const REPLIES_PER_EQUAL_ONE: u64 = 1_000;
 
 /// The fastest exchanges with a box.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -38,11 +44,10 @@
         self.response_count = self.response_count.saturating_add(1);
     }
 
-    /// Whether a reply after this time took less than a round trip.
-    fn is_within_round_trip(&self, latency: Nanos) -> bool {
-        let exchange = self.connect.zip(self.response).map(|(connect, response)| connect.min(response));
-        self.response_count >= MIN_RESPONSES
-            && exchange.is_some_and(|fastest| latency < fastest / ROUND_TRIP_DIVISOR)
+    /// The fastest exchange, if enough is known to tell anything by it.
+    fn known_exchange(&self) -> Option<Nanos> {
+        let fastest = self.connect?.min(self.response?);
+        (self.response_count >= MIN_RESPONSES && fastest >= MIN_EXCHANGE).then_some(fastest)
     }
 
     /// Whether a second copy is the likelier explanation for a reply after this time that is equal to the one before.
@@ -51,6 +56,50 @@
     }
 }
 
+/// Whether consecutive values on a connection usually differ. Then a second copy can be told by its content.
+#[derive(Clone, Copy, Debug, Default)]
+struct Comparisons {
+    compared: u64,
+    equal: u64,
+}
+
+impl Comparisons {
+    fn record(&mut self, is_equal: bool) {
+        self.compared += 1;
+        self.equal += u64::from(is_equal);
+    }
+
+    fn values_differ(&self) -> bool {
+        self.compared >= MIN_COMPARED && self.equal * REPLIES_PER_EQUAL_ONE <= self.compared
+    }
+}
+
+/// Whether the replies that follow reads, and those that follow writes, usually differ from these. Receipts may all be
+/// equal where values are not.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ValueVariety {
+    after_read: Comparisons,
+    after_write: Comparisons,
+}
+
+impl ValueVariety {
+    fn after(&self, reply: &ReplyArrival) -> &Comparisons {
+        if reply.write {
+            &self.after_write
+        } else {
+            &self.after_read
+        }
+    }
+
+    fn after_mut(&mut self, reply: &ReplyArrival) -> &mut Comparisons {
+        if reply.write {
+            &mut self.after_write
+        } else {
+            &mut self.after_read
+        }
+    }
+}
+
 /// A reply that arrived on a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplyArrival {
@@ -58,25 +107,42 @@
     pub latency: Option<Nanos>,
     /// A hash of its content.
     pub fingerprint: u64,
+    /// It has a value or a receipt.
+    pub served: bool,
+    /// Its command is a write.
+    pub write: bool,
 }
 
 /// Compares the replies on a connection with those before them.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ForeignReplyDetector {
-    /// The fingerprint of the last reply.
-    previous: Option<u64>,
+    previous: Option<ReplyArrival>,
 }
 
 impl ForeignReplyDetector {
-    /// Whether a reply is foreign. The first one on a connection never is.
-    pub fn is_foreign(&self, arrival: &ReplyArrival, fastest: &FastestExchange) -> bool {
-        let (Some(previous), Some(latency)) = (self.previous, arrival.latency) else { return false };
-        let is_copy = previous == arrival.fingerprint && fastest.is_early_for_copy(latency);
-        is_copy || fastest.is_within_round_trip(latency)
+    /// Whether a reply is foreign. The first one on a connection never is. For the round trip to a box that is little
+    /// known, the fastest of all boxes stands.
+    pub fn is_foreign(
+        &self,
+        arrival: &ReplyArrival,
+        variety: &ValueVariety,
+        latencies: LatencyContext<'_>,
+    ) -> bool {
+        let (Some(previous), Some(latency)) = (&self.previous, arrival.latency) else { return false };
+        let known = [latencies.this_box, latencies.all_boxes].map(BoxLatencies::fastest);
+        let is_equal = arrival.served && arrival.fingerprint == previous.fingerprint;
+        let is_copy =
+            is_equal && variety.after(previous).values_differ() && known[0].is_early_for_copy(latency);
+        let exchange = known.into_iter().find_map(FastestExchange::known_exchange);
+        is_copy || exchange.is_some_and(|fastest| latency < fastest / ROUND_TRIP_DIVISOR)
     }
 
-    /// Records the last reply.
-    pub fn record(&mut self, fingerprint: u64) {
-        self.previous = Some(fingerprint);
+    /// Records a reply that was accepted.
+    pub fn record(&mut self, arrival: &ReplyArrival, variety: &mut ValueVariety) {
+        let compared = self.previous.filter(|previous| previous.served && arrival.served);
+        if let Some(previous) = compared {
+            variety.after_mut(&previous).record(previous.fingerprint == arrival.fingerprint);
+        }
+        self.previous = Some(*arrival);
     }
 }
--- a/crates/proxy/src/boxes/connection.rs
+++ b/crates/proxy/src/boxes/connection.rs
@@ -113,9 +113,10 @@
     }
 
     /// The reply that is being read, with the hash of its content.
-    pub fn reply_arrival(&self, fingerprint: u64) -> ReplyArrival {
+    pub fn reply_arrival(&self, fingerprint: u64, served: bool) -> ReplyArrival {
         let age = self.pipeline.head_age(self.reply_began).filter(|_| !self.pipeline.is_head_pipelined());
-        ReplyArrival { latency: age, fingerprint }
+        let write = self.pipeline.head_kind().is_some_and(|kind| kind.write);
+        ReplyArrival { latency: age, fingerprint, served, write }
     }
 
     /// Whether no copy of an earlier reply can have been taken for the one that is being read: there was none, or its
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -25,7 +25,7 @@
 use idle::IdleOutcomes;
 use mio::Registry;
 use node::Node;
-use pipeline::{BoxLatencies, PipelineConfig};
+use pipeline::{BoxLatencies, PipelineConfig, ValueVariety};
 use resp::{BodyFormat, Frame, Reply};
 use rustc_hash::{FxHashMap, FxHashSet};
 pub use settings::{hello_command, pipeline_config};
@@ -116,6 +116,7 @@
     pipeline_config: PipelineConfig,
     /// Response and connect times over all nodes.
     latencies: BoxLatencies,
+    value_variety: ValueVariety,
     pipeline_options: operator::Pipeline,
     /// Pipeline counters of the nodes that were removed.
     removed_stats: Pipelines,
@@ -160,6 +161,7 @@
             descriptor_limit,
             pipeline_config: PipelineConfig::default(),
             latencies: BoxLatencies::NONE,
+            value_variety: ValueVariety::default(),
             pipeline_options: options.pipeline.clone(),
             removed_stats: Pipelines::default(),
             write_queue: Vec::new(),
--- a/crates/proxy/src/boxes/read.rs
+++ b/crates/proxy/src/boxes/read.rs
@@ -3,6 +3,7 @@
 use super::connection::Connection;
 use super::{Boxes, NodeEvent};
 use calicosaddle::api::{Nanos, RequestId, Status};
+use pipeline::{LatencyContext, ReplyArrival};
 use resp::{BodyFormat, Protocol, Reply, ReplyKind, ReplyPart, ReplyReader, ServerMessage};
 use rustc_hash::FxHasher;
 use std::hash::{Hash, Hasher};
@@ -185,7 +186,8 @@
             return false;
         }
         let bytes = if c.uses_resp3() { value } else { std::mem::take(&mut c.reply_bytes) };
-        if !c.streaming && !self.accept_reply(key, reply_fingerprint(&reply, &bytes), now) {
+        let arrival = c.reply_arrival(reply_fingerprint(&reply, &bytes), reply.kind == ReplyKind::Served);
+        if !c.streaming && !self.accept_reply(key, &arrival, now) {
             return true;
         }
         let Some(c) = self.connections.get_mut(key) else { return true };
@@ -230,11 +232,11 @@
 
     /// Checks a reply, or a long value at its beginning, before it is passed on. Closes the connection and returns false
     /// if it was not made for the command at the head: everything behind it would be shifted. The command may have run.
-    fn accept_reply(&mut self, key: usize, fingerprint: u64, now: Nanos) -> bool {
+    fn accept_reply(&mut self, key: usize, arrival: &ReplyArrival, now: Nanos) -> bool {
         let Some(c) = self.connections.get_mut(key) else { return false };
         let Some(node) = self.nodes.get_mut(&c.server) else { return true };
-        let arrival = c.reply_arrival(fingerprint);
-        if c.foreign_replies.is_foreign(&arrival, node.latencies().fastest()) {
+        let latencies = LatencyContext { this_box: node.latencies(), all_boxes: &self.latencies };
+        if c.foreign_replies.is_foreign(arrival, &self.value_variety, latencies) {
             node.stats.unsolicited += 1;
             self.pipeline_config.settle_delay.record_unsolicited(now.saturating_sub(c.last_reply));
             self.close_unreadable(key);
@@ -242,8 +244,9 @@
         }
         if let Some(latency) = arrival.latency.filter(|latency| c.is_reply_own(*latency)) {
             node.latencies_mut().record_own_response(latency);
+            self.latencies.record_own_response(latency);
         }
-        c.foreign_replies.record(fingerprint);
+        c.foreign_replies.record(arrival, &mut self.value_variety);
         true
     }
 
@@ -251,7 +254,8 @@
     /// was cancelled are dropped.
     fn process_part(&mut self, key: usize, part: ReplyPart, now: Nanos) -> Option<Reply> {
         if let Some((format, length)) = part.head {
-            if !self.accept_reply(key, value_fingerprint(format, length), now) {
+            let arrival = self.connections.get(key)?.reply_arrival(value_fingerprint(format, length), true);
+            if !self.accept_reply(key, &arrival, now) {
                 return None;
             }
         }
