Long values behind one another no longer wait for each other

Cause: Clients::append_value and flush paused and resumed the value at the front by all unread bytes of the client, those included that wait behind it. When these had filled the share, the front was paused for good.

Change: the front is paused and resumed by what is next in order and unwritten; the values behind it share an allowance of the same size.

--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -130,7 +130,12 @@
 
     /// The number of bytes of answers that have not been written to its socket.
     fn unread_bytes(&self) -> usize {
-        self.output.len() - self.written + self.queued_bytes
+        self.unwritten_bytes() + self.queued_bytes
+    }
+
+    /// The number of bytes that are next in order and have not been written to its socket.
+    fn unwritten_bytes(&self) -> usize {
+        self.output.len() - self.written
     }
 
     /// True if no command and no answer is in progress.
@@ -590,7 +595,8 @@
             client.output.drain(..client.written);
             client.written = 0;
         }
-        let may_resume = client.unread_bytes() <= share / 2;
+        // What waits behind the value at the front can't be written before it.
+        let may_resume = client.unwritten_bytes() <= share / 2;
         if let Some(Slot::Streaming { id, paused: paused @ true, .. }) =
             client.slots.front_mut().filter(|_| may_resume)
         {
--- a/crates/proxy/src/front/clients/values.rs
+++ b/crates/proxy/src/front/clients/values.rs
@@ -35,19 +35,23 @@
     }
 
     /// Appends bytes to a streamed value. Returns false if the sender has to pause until [`ClientEvent::ReadyForMore`].
+    ///
+    /// The value that is next in order has a share of its own: if it had to share with those behind it, it would wait for
+    /// them, and they wait for it.
     pub fn append_value(&mut self, slot: ReplySlot, bytes: &[u8]) -> bool {
         let share = self.unread_share();
         let Some((client, position)) = self.find_slot(slot) else { return true };
-        let (unread, queued_bytes) = (client.unread_bytes() + bytes.len(), client.queued_bytes);
         let Slot::Streaming { queued, paused, .. } = &mut client.slots[position] else { return true };
-        let has_room = unread <= share;
-        *paused = !has_room;
-        if position == 0 {
+        let unread_bytes = if position == 0 {
             client.output.extend_from_slice(bytes);
+            client.output.len() - client.written
         } else {
             queued.extend_from_slice(bytes);
-            client.queued_bytes = queued_bytes + bytes.len();
-        }
+            client.queued_bytes += bytes.len();
+            client.queued_bytes
+        };
+        let has_room = unread_bytes <= share;
+        *paused = !has_room;
         self.unread_bytes += bytes.len();
         self.advance(slot.client);
         has_room
--- a/crates/proxy/tests/long.rs
+++ b/crates/proxy/tests/long.rs
@@ -58,6 +58,34 @@
     assert_eq!(client.command()[0], "fourth");
 }
 
+// Guards against long values that wait for one another: the first for room, those behind it for their turn.
+#[test]
+fn long_values_behind_one_another_are_all_passed_on_whichever_comes_first() {
+    const COUNT: usize = 3;
+    let nodes = Server::many(COUNT);
+    let proxy = Proxy::with(&nodes, |c| c["settings"]["caps"]["second_copies"] = json!(false));
+    let mut client = proxy.client();
+    let mut at_nodes = Vec::new();
+    for key in 0..COUNT as u64 {
+        client.get(key, "read", 15_000);
+        at_nodes.push(nodes.command().0);
+    }
+    // The values behind the first one come first, and fill the room that the client has.
+    let values: Vec<String> = (0..COUNT).map(|i| value_text(VALUE_BYTES, i as u8)).collect();
+    let mut writers = Vec::new();
+    for (mut at_node, value) in at_nodes.into_iter().zip(values.clone()).rev() {
+        writers.push(std::thread::spawn(move || {
+            at_node.send(response_head(VALUE_BYTES) + &value + RESPONSE_TAIL);
+            at_node
+        }));
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    for value in values {
+        assert!(client.command()[0] == value, "the value differs from the one sent");
+    }
+    writers.into_iter().for_each(|w| drop(w.join().expect("the node wrote the whole value")));
+}
+
 #[test]
 fn many_long_values_are_streamed_through_less_memory_than_their_size() {
     const CLIENTS: usize = 12;
