What a cache node has sent is read before a waiting command is written

Cause: when a connection's socket became ready, Boxes::ready wrote what waited on it before it read. A second reply that came within the settle delay while the proxy was held up was read behind the command that had waited for the delay's end, as its answer. The other places that write look at the socket first; this one didn't.

Change: read first, then write after the look at the socket; a connection without any reply so far is written to first, as before. Nothing is written if the key has come to belong to a new connection meanwhile.

--- a/crates/proxy/src/boxes/read.rs
+++ b/crates/proxy/src/boxes/read.rs
@@ -38,8 +38,11 @@
         std::mem::take(&mut self.unread)
     }
 
-    /// Handles readiness of a connection's socket: connects, writes and reads, up to a bound. With `closed`, an
+    /// Handles readiness of a connection's socket: connects, reads and writes, up to a bound. With `closed`, an
     /// end of stream may follow a short read, so reading goes on after it.
+    ///
+    /// What has arrived is read before anything is written. Bytes that came while no command was in flight are unsolicited,
+    /// also where their settle delay is over by the time they are read; behind a new command they would pass for its reply.
     pub fn ready(&mut self, key: usize, closed: bool, buffer: &mut [u8], now: Nanos) {
         let Some(c) = self.connections.get_mut(key) else { return };
         if !c.connected {
@@ -52,9 +55,18 @@
                 }
             }
         }
-        self.flush(key, now);
+        let Some(c) = self.connections.get(key) else { return };
+        let serial = c.serial;
+        if !c.has_replied {
+            // A node without room for the connection may have refused the first command before it was written.
+            self.flush(key, now);
+        }
         self.read(key, closed, buffer, now);
-        self.take_over_waiting(key, now);
+        // The key may belong to a new connection by now.
+        if self.connections.get(key).is_some_and(|c| c.serial == serial) {
+            self.flush_if_quiet(key, now);
+            self.take_over_waiting(key, now);
+        }
     }
 
     /// A connection is established: ends its race.
--- a/crates/proxy/src/boxes/write.rs
+++ b/crates/proxy/src/boxes/write.rs
@@ -87,6 +87,15 @@
             // The key has been reused for another connection, or the batch has already been written.
             return;
         }
+        self.flush_if_quiet(key, now);
+    }
+
+    /// Writes to a connection, unless it is idle and has unread input. Then its attempts go elsewhere.
+    pub(super) fn flush_if_quiet(&mut self, key: usize, now: Nanos) {
+        let Some(c) = self.connections.get_mut(key).filter(|c| c.ready_at <= now || c.pipeline.has_batch())
+        else {
+            return;
+        };
         if c.pipeline.in_flight() > 0
             || c.pipeline.has_batch()
             || !c.pipeline.has_queued()
@@ -111,7 +120,7 @@
         self.reassign(server, queued, now);
     }
 
-    /// Writes until nothing is left or the socket takes no more.
+    /// Writes until nothing is left or the socket takes no more. The caller has made sure that no input is unread.
     pub(super) fn flush(&mut self, key: usize, now: Nanos) {
         while let Some(c) =
             self.connections.get_mut(key).filter(|c| c.ready_at <= now || c.pipeline.has_batch())
--- a/crates/proxy/tests/pipeline.rs
+++ b/crates/proxy/tests/pipeline.rs
@@ -584,6 +584,43 @@
     }
 }
 
+/// A second reply comes within the settle delay, while the proxy has no processor time, and a command waits for the end of
+/// the delay. When the proxy goes on, the delay is over and the reply is unread.
+// Guards against a command that is written before the bytes that came meanwhile are read, and is answered by them.
+#[test]
+fn a_second_reply_that_a_stopped_proxy_has_not_read_is_not_served_to_the_waiting_command() {
+    const SETTLE_MS: u64 = 50;
+    let node = Server::start();
+    let operator = format!("version = 1\n[pipeline]\nrest_ms = {SETTLE_MS}");
+    let proxy = Proxy::operated(&node, &operator, one_connection_per_node);
+    let mut client = proxy.client();
+    client.get(1, "read", 15_000);
+    let (mut at_node, _) = node.command();
+    let started = Instant::now();
+    loop {
+        assert!(started.elapsed() < PATIENCE, "the proxy was never stopped within the settle delay");
+        at_node.send(hit("the first"));
+        assert_eq!(client.command()[0], "the first");
+        client.get(2, "read", 15_000);
+        std::thread::sleep(Duration::from_millis(SETTLE_MS / 5));
+        proxy.signal("-STOP");
+        if !at_node.has_input() {
+            break;
+        }
+        // The settle delay was over before, so the command has been written. It is answered at the start of the loop.
+        proxy.signal("-CONT");
+        at_node.command();
+    }
+    at_node.send(hit("the first"));
+    std::thread::sleep(Duration::from_millis(2 * SETTLE_MS));
+    proxy.signal("-CONT");
+    let mut peers = vec![at_node];
+    let (i, command) = node.any(&mut peers);
+    assert_eq!(command[1], "0000000000000002");
+    peers[i].send(hit("the second"));
+    assert_eq!(client.command()[0], "the second");
+}
+
 /// Prints the misdelivered responses with no settle delay, the default one, and one that covers every lateness.
 #[test]
 #[ignore = "a measurement"]
