Simpler second-reply and memory code after a second reading

Need: the fixes of the review left a pair of accessors that differ in `mut` only, an argument's beginning that asked twice whether it is long, a type that was public but is used inside its crate alone, the index of the fields in two files, and the receipt of the tests written out seven times.

Change: ValueVariety is indexed as the latencies of reads and writes are; begin_argument has one branch a case; FastestExchange stays inside its crate; request::FIELDS_INDEX and a RECEIPT of the tests stand once; a comment is reworded.

--- a/crates/pipeline/src/foreign_reply.rs
+++ b/crates/pipeline/src/foreign_reply.rs
@@ -22,8 +22,8 @@
 const REPLIES_PER_EQUAL_ONE: u64 = 1_000;
 
 /// The fastest exchanges with a box.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct FastestExchange {
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FastestExchange {
     connect: Option<Nanos>,
     response: Option<Nanos>,
     response_count: u32,
@@ -31,15 +31,16 @@
 
 impl FastestExchange {
     /// No exchange yet.
-    pub const NONE: FastestExchange = FastestExchange { connect: None, response: None, response_count: 0 };
+    pub(crate) const NONE: FastestExchange =
+        FastestExchange { connect: None, response: None, response_count: 0 };
 
     /// Records how long a connection took to be established.
-    pub fn record_connect(&mut self, connect_time: Nanos) {
+    pub(crate) fn record_connect(&mut self, connect_time: Nanos) {
         self.connect = Some(self.connect.map_or(connect_time, |fastest| fastest.min(connect_time)));
     }
 
     /// Records the time from a command to its reply, where no copy of an earlier reply can have been taken for it.
-    pub fn record_response(&mut self, latency: Nanos) {
+    pub(crate) fn record_response(&mut self, latency: Nanos) {
         self.response = Some(self.response.map_or(latency, |fastest| fastest.min(latency)));
         self.response_count = self.response_count.saturating_add(1);
     }
@@ -56,7 +57,7 @@
     }
 }
 
-/// Whether consecutive values on a connection usually differ. Then a second copy can be told by its content.
+/// How many values were compared with the one before them on their connection, and how many of these were equal.
 #[derive(Clone, Copy, Debug, Default)]
 struct Comparisons {
     compared: u64,
@@ -74,31 +75,10 @@
     }
 }
 
-/// Whether the replies that follow reads, and those that follow writes, usually differ from these. Receipts may all be
-/// equal where values are not.
+/// Whether consecutive values on a connection usually differ: those behind a read, then those behind a write. Receipts may
+/// all be equal where values are not. Where values differ, a second copy is recognised by its content.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ValueVariety {
-    after_read: Comparisons,
-    after_write: Comparisons,
-}
-
-impl ValueVariety {
-    fn after(&self, reply: &ReplyArrival) -> &Comparisons {
-        if reply.write {
-            &self.after_write
-        } else {
-            &self.after_read
-        }
-    }
-
-    fn after_mut(&mut self, reply: &ReplyArrival) -> &mut Comparisons {
-        if reply.write {
-            &mut self.after_write
-        } else {
-            &mut self.after_read
-        }
-    }
-}
+pub struct ValueVariety([Comparisons; 2]);
 
 /// A reply that arrived on a connection.
 #[derive(Clone, Copy, Debug)]
@@ -131,8 +111,9 @@
         let (Some(previous), Some(latency)) = (&self.previous, arrival.latency) else { return false };
         let known = [latencies.this_box, latencies.all_boxes].map(BoxLatencies::fastest);
         let is_equal = arrival.served && arrival.fingerprint == previous.fingerprint;
-        let is_copy =
-            is_equal && variety.after(previous).values_differ() && known[0].is_early_for_copy(latency);
+        let is_copy = is_equal
+            && variety.0[usize::from(previous.write)].values_differ()
+            && known[0].is_early_for_copy(latency);
         let exchange = known.into_iter().find_map(FastestExchange::known_exchange);
         is_copy || exchange.is_some_and(|fastest| latency < fastest / ROUND_TRIP_DIVISOR)
     }
@@ -141,7 +122,8 @@
     pub fn record(&mut self, arrival: &ReplyArrival, variety: &mut ValueVariety) {
         let compared = self.previous.filter(|previous| previous.served && arrival.served);
         if let Some(previous) = compared {
-            variety.after_mut(&previous).record(previous.fingerprint == arrival.fingerprint);
+            let is_equal = previous.fingerprint == arrival.fingerprint;
+            variety.0[usize::from(previous.write)].record(is_equal);
         }
         self.previous = Some(*arrival);
     }
--- a/crates/pipeline/src/latency.rs
+++ b/crates/pipeline/src/latency.rs
@@ -1,6 +1,7 @@
 //! Measured latencies of boxes.
 
-use crate::{CommandKind, FastestExchange, Nanos};
+use crate::foreign_reply::FastestExchange;
+use crate::{CommandKind, Nanos};
 
 /// The upper end of the first bucket. Shorter latencies are all counted in it.
 const MIN_RESOLVED: Nanos = 64_000;
@@ -144,7 +145,7 @@
     }
 
     /// The fastest exchanges.
-    pub fn fastest(&self) -> &FastestExchange {
+    pub(crate) fn fastest(&self) -> &FastestExchange {
         &self.fastest
     }
 
--- a/crates/pipeline/src/lib.rs
+++ b/crates/pipeline/src/lib.rs
@@ -14,7 +14,7 @@
 mod settle_delay;
 
 pub use connection_limit::ConnectionLimit;
-pub use foreign_reply::{FastestExchange, ForeignReplyDetector, ReplyArrival, ValueVariety};
+pub use foreign_reply::{ForeignReplyDetector, ReplyArrival, ValueVariety};
 pub use latency::{BoxLatencies, LatencyHistogram};
 pub use placement::{
     choose_connection, is_stalled, ConnectionState, LatencyContext, PipelineConfig, Placement,
--- a/crates/proxy/src/front/clients/waiting.rs
+++ b/crates/proxy/src/front/clients/waiting.rs
@@ -17,8 +17,6 @@
 const WAIT_DIVISOR: Nanos = 4;
 /// After a pause of this length within a value, the values of other clients get memory first.
 const PRIORITY_TIMEOUT: Nanos = 100 * MS;
-/// The index of the argument that states the time-out.
-const FIELDS_INDEX: usize = 3;
 
 /// The wait of a command for memory.
 #[derive(Clone, Copy, Debug)]
@@ -32,7 +30,7 @@
 impl MemoryWait {
     /// A wait that begins now.
     pub(super) fn begin(parser: &CommandParser, config: &Config, now: Nanos) -> MemoryWait {
-        let timeout = request::stated_timeout(parser.partial_arg(FIELDS_INDEX), config);
+        let timeout = request::stated_timeout(parser.partial_arg(request::FIELDS_INDEX), config);
         MemoryWait { since: now, until: now + timeout.unwrap_or(0) / WAIT_DIVISOR }
     }
 }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -19,6 +19,8 @@
 /// enough for a request that arrives together with the end of the stream. Attempts that begin 100 ms after the close
 /// count as sent for a client that has gone.
 pub const HALF_CLOSE_GRACE: Nanos = 50 * MS;
+/// The index of the argument with the fields, which state the time-out.
+pub const FIELDS_INDEX: usize = 3;
 /// The longest key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 /// The longest request id, in bytes.
@@ -120,7 +122,8 @@
         if !is_valid(2, MAX_ID_BYTES) {
             return Err("-ERR invalid request id\r\n");
         }
-        let text = std::str::from_utf8(command.arg(3)).map_err(|_| "-ERR fields are not text\r\n")?;
+        let text =
+            std::str::from_utf8(command.arg(FIELDS_INDEX)).map_err(|_| "-ERR fields are not text\r\n")?;
         let Fields { class, tenant, timeout, has_dedup_key, expected_work, is_retry } =
             Fields::parse(text, config)?;
         let class = class.ok_or("-ERR unknown class\r\n")?;
@@ -165,7 +168,7 @@
             out.extend_from_slice(arg);
             out.extend_from_slice(b"\r\n");
         }
-        let fields = self.command.arg(3);
+        let fields = self.command.arg(FIELDS_INDEX);
         let (before, after) = (&fields[..self.timeout_range.start], &fields[self.timeout_range.end..]);
         let digits = timeout_ms.checked_ilog10().unwrap_or(0) as usize + 1;
         let _ = write!(out, "${}\r\n", before.len() + digits + after.len());
--- a/crates/proxy/tests/long.rs
+++ b/crates/proxy/tests/long.rs
@@ -6,6 +6,8 @@
 use testkit::scripted::*;
 
 const VALUE_BYTES: usize = 4 << 20;
+/// The response to a write.
+const RECEIPT: &str = "*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n";
 const RESPONSE_TAIL: &str = "\r\n$3\r\nhit\r\n$-1\r\n";
 
 fn response_head(length: usize) -> String {
@@ -208,7 +210,7 @@
         assert!(command[4] == value, "the value differs from the one sent");
         // The other writes are not forwarded before this one is answered.
         assert!(node.is_untouched());
-        peers[i].send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+        peers[i].send(RECEIPT);
     }
     for writer in writers {
         assert_eq!(writer.join().expect("written")[0], "ok");
@@ -244,7 +246,7 @@
     writer.set(2, "put", 15_000, &value);
     let (mut at_node, command) = node.command();
     assert!(command[4] == value, "the value differs from the one sent");
-    at_node.send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+    at_node.send(RECEIPT);
     assert_eq!(writer.command()[0], "ok");
     // None of the four had to be disconnected first.
     assert!(stopped.iter_mut().all(|client| !client.has_input()));
@@ -264,13 +266,13 @@
     assert!(second.line().starts_with("-BUSY"));
     // The first write still holds the memory, and nothing of the second was sent.
     assert!(node.is_untouched() && !first.has_input());
-    at_node.send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+    at_node.send(RECEIPT);
     assert_eq!(first.command()[0], "ok");
     second.set(2, "put", 15_000, "short");
     let mut peers = vec![at_node];
     let (i, command) = node.any(&mut peers);
     assert_eq!(command[4], "short");
-    peers[i].send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+    peers[i].send(RECEIPT);
     assert_eq!(second.command()[0], "ok");
 }
 
@@ -285,14 +287,14 @@
     drop(second);
     // Far below the time for which the write may wait, and well past the time in which a closed client may be served.
     std::thread::sleep(Duration::from_millis(300));
-    at_node.send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+    at_node.send(RECEIPT);
     assert_eq!(first.command()[0], "ok");
     let mut third = proxy.client();
     third.set(3, "put", 15_000, &value_text(200_000, 0));
     let mut peers = vec![at_node];
     let (i, command) = node.any(&mut peers);
     assert_eq!(command[1], "0000000000000003", "the write of a client that had left was sent");
-    peers[i].send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+    peers[i].send(RECEIPT);
     assert_eq!(third.command()[0], "ok");
 }
 
@@ -311,7 +313,7 @@
     assert!(started.elapsed() > Duration::from_secs(3));
     let (mut at_node, command) = node.command();
     assert!(command[4] == value);
-    at_node.send("*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+    at_node.send(RECEIPT);
     assert_eq!(client.command()[0], "ok");
     let mut stopped = proxy.client();
     stopped.send(&bytes[..bytes.len() / 2]);
--- a/crates/resp/src/command.rs
+++ b/crates/resp/src/command.rs
@@ -218,17 +218,16 @@
 
     /// Begins an argument of this length. A long one gets its memory as it arrives.
     fn begin_argument(&mut self, length: usize) {
-        let is_long = length > MAX_SHORT_ARG_BYTES;
-        self.state = match length {
-            0 => CommandState::Cr,
-            _ if is_long => CommandState::Body { remaining: length, room: 0 },
-            _ => CommandState::Body { remaining: length, room: length },
-        };
-        if is_long {
-            self.command.reservation = Some(self.budget.begin(length));
-        }
-        if length > self.budget.capacity() && is_long {
+        if length <= MAX_SHORT_ARG_BYTES {
+            self.state = match length {
+                0 => CommandState::Cr,
+                _ => CommandState::Body { remaining: length, room: length },
+            };
+        } else if length > self.budget.capacity() {
             self.skip_value(length);
+        } else {
+            self.command.reservation = Some(self.budget.begin(length));
+            self.state = CommandState::Body { remaining: length, room: 0 };
         }
     }
 
