--- /dev/null
+++ b/review/stand-ins-2/main.rs
@@ -0,0 +1,40 @@
+//! The cases of the second review: `stand-ins-2 NAME ROOT FOLDER TEMP`.
+
+mod kit;
+
+mod behind;
+mod copies;
+mod crowd;
+mod departed;
+mod mixed;
+mod queued;
+mod readers;
+mod stop_late;
+mod stop_pipeline;
+mod window;
+
+use std::time::Duration;
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let name = args.next().unwrap_or_default();
+    let place = kit::Place::from_args(args);
+    // A case takes far less than its 120 seconds.
+    std::thread::spawn(|| {
+        std::thread::sleep(Duration::from_secs(110));
+        kit::cannot_run("it took over 110 s");
+    });
+    match name.as_str() {
+        "mixed" => mixed::run(&place),
+        "window" => window::run(&place),
+        "behind" => behind::run(&place),
+        "crowd" => crowd::run(&place),
+        "copies" => copies::run(&place),
+        "stop-late" => stop_late::run(&place),
+        "stop-pipeline" => stop_pipeline::run(&place),
+        "readers" => readers::run(&place),
+        "queued" => queued::run(&place),
+        "departed" => departed::run(&place),
+        other => kit::cannot_run(format!("no case {other:?}")),
+    }
+}
