--- a/review/stand-ins-2/departed.rs
+++ b/review/stand-ins-2/departed.rs
@@ -17,8 +17,8 @@
             let at = node(move |conn, words| {
                 record.note(format!("node s-{n}: GET, request {}", text(&words[2])));
                 seen.lock().unwrap().push(Instant::now());
-                // The nodes hang.
-                sleep(7_000);
+                // A read of much work.
+                sleep(400);
                 conn.write(&served(b"pack"))
             });
             (format!("s-{n}"), at)
--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -602,6 +602,19 @@
     std::process::exit(i32::from(broken))
 }
 
+/// Random numbers from a seed (xorshift).
+pub struct Random(pub u64);
+
+impl Random {
+    /// From 0 up to 1.
+    pub fn unit(&mut self) -> f64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
 pub fn flag() -> Arc<AtomicBool> {
     Arc::new(AtomicBool::new(false))
 }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,16 +1,13 @@
-//! The cases of the second review: `stand-ins-2 NAME ROOT FOLDER TEMP`.
+//! The cases of the second review, and two trials: `stand-ins-2 NAME ROOT FOLDER TEMP`.
 
 mod kit;
 
-mod behind;
 mod copies;
 mod crowd;
 mod departed;
-mod mixed;
 mod queued;
 mod readers;
 mod stop_late;
-mod stop_pipeline;
 mod window;
 
 use std::time::Duration;
@@ -25,13 +22,10 @@
         kit::cannot_run("it took over 110 s");
     });
     match name.as_str() {
-        "mixed" => mixed::run(&place),
         "window" => window::run(&place),
-        "behind" => behind::run(&place),
         "crowd" => crowd::run(&place),
         "copies" => copies::run(&place),
         "stop-late" => stop_late::run(&place),
-        "stop-pipeline" => stop_pipeline::run(&place),
         "readers" => readers::run(&place),
         "queued" => queued::run(&place),
         "departed" => departed::run(&place),
--- a/review/stand-ins-2/queued.rs
+++ b/review/stand-ins-2/queued.rs
@@ -40,7 +40,7 @@
     let settings = Settings {
         classes: vec![
             Class { name: "pack-lookup", aim_ms: 300, deadline_ms: 750, effect: "safe", window_ms: 0 },
-            Class { name: "swap-record", aim_ms: 500, deadline_ms: 1000, effect: "unsafe", window_ms: 0 },
+            Class { name: "swap-record", aim_ms: 500, deadline_ms: 1000, effect: "keyed", window_ms: 1000 },
         ],
         proxies: 3,
         cancelling: true,
@@ -51,7 +51,7 @@
     let mut client = Client::to(proxy.listen);
     let keys: Vec<String> = (0..200).map(|i| format!("{:016x}", 0x7f3a_9c21_0000_0000u64 + i * 7919)).collect();
     for (i, key) in keys.iter().enumerate() {
-        client.send_words(&["CACHE.SET", key, &format!("calm-w{i}"), "c=swap-record,d=1000,k=k", "charge"]);
+        client.send_words(&["CACHE.SET", key, &format!("calm-w{i}"), &format!("c=swap-record,d=1000,k=calm{i}"), "charge"]);
         client.answer(ms(3000));
         client.send_words(&["CACHE.GET", key, &format!("calm-r{i}"), "c=pack-lookup,d=750"]);
         client.answer(ms(3000));
@@ -72,9 +72,9 @@
             let others: Vec<String> = at_others.iter().map(|k| (*k).clone()).collect();
             std::thread::spawn(move || {
                 use std::io::Write;
-                sleep(c as u64 * 120);
+                sleep(c as u64 * 40);
                 let mut client = Client::to(listen);
-                let mut bytes = encode(&["CACHE.SET", &first, &format!("c{c}w"), "c=swap-record,d=1000,k=k", "charge"]);
+                let mut bytes = encode(&["CACHE.SET", &first, &format!("c{c}w"), &format!("c=swap-record,d=1000,k=busy{c}"), "charge"]);
                 for batch in 0..BATCHES {
                     for i in 0..READS_A_BATCH {
                         let n = batch * READS_A_BATCH + i;
