--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,4 +1,4 @@
-//! The cases of the second review, and two trials: `stand-ins-2 NAME ROOT FOLDER TEMP`.
+//! The cases of the second review, and three trials: `stand-ins-2 NAME ROOT FOLDER TEMP`.
 
 mod kit;
 
@@ -7,6 +7,7 @@
 mod departed;
 mod queued;
 mod readers;
+mod same_id;
 mod stop_late;
 mod window;
 
@@ -28,6 +29,7 @@
         "stop-late" => stop_late::run(&place),
         "readers" => readers::run(&place),
         "queued" => queued::run(&place),
+        "same-id" => same_id::run(&place),
         "departed" => departed::run(&place),
         other => kit::cannot_run(format!("no case {other:?}")),
     }
