--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 pub fn ms(n: u64) -> Duration {
@@ -259,26 +259,87 @@
 }
 
 fn serve_list(stream: TcpStream, whole: &str) {
-    let Ok(mut output) = stream.try_clone() else { return };
+    let Ok(output) = stream.try_clone() else { return };
+    let Some(first) = read_head(stream) else { return };
+    if query(&first, "since") == Some(41) {
+        sleep(query(&first, "timeout_ms").unwrap_or(0).min(60_000));
+        write_list(output, "{\"seq\":41,\"whole\":false,\"hosts\":[]}");
+    } else {
+        write_list(output, whole);
+    }
+}
+
+/// Lists that change, for a discovery with watches.
+pub struct Lists {
+    /// The version, and the entries as a JSON array.
+    now: Mutex<(u64, String)>,
+    changed: Condvar,
+}
+
+impl Lists {
+    pub fn new() -> Lists {
+        Lists { now: Mutex::new((40, "[]".into())), changed: Condvar::new() }
+    }
+
+    /// Sets the next list; returns it whole.
+    pub fn set(&self, hosts: String) -> String {
+        let mut now = self.now.lock().unwrap();
+        *now = (now.0 + 1, hosts);
+        self.changed.notify_all();
+        format!("{{\"seq\":{},\"whole\":true,\"hosts\":{}}}", now.0, now.1)
+    }
+
+    /// Answers calls: the whole list if it is newer than the call knows, at once or within its wait.
+    pub fn serve(self: &Arc<Lists>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(e));
+        let at = listener.local_addr().unwrap();
+        let lists = self.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let lists = lists.clone();
+                std::thread::spawn(move || lists.answer(stream));
+            }
+        });
+        at
+    }
+
+    fn answer(&self, stream: TcpStream) {
+        let Ok(output) = stream.try_clone() else { return };
+        let Some(first) = read_head(stream) else { return };
+        let since = query(&first, "since");
+        let until = Instant::now() + ms(query(&first, "timeout_ms").unwrap_or(0).min(60_000));
+        let mut now = self.now.lock().unwrap();
+        while since == Some(now.0) && Instant::now() < until {
+            now = self.changed.wait_timeout(now, until.saturating_duration_since(Instant::now())).unwrap().0;
+        }
+        let body = if since == Some(now.0) {
+            format!("{{\"seq\":{},\"whole\":false,\"hosts\":[]}}", now.0)
+        } else {
+            format!("{{\"seq\":{},\"whole\":true,\"hosts\":{}}}", now.0, now.1)
+        };
+        drop(now);
+        write_list(output, &body);
+    }
+}
+
+/// The first line of an HTTP request, once its head has come.
+fn read_head(stream: TcpStream) -> Option<String> {
     let mut input = BufReader::new(stream);
     let mut first = String::new();
-    if input.read_line(&mut first).is_err() {
-        return;
-    }
+    input.read_line(&mut first).ok()?;
     let mut line = String::new();
     while input.read_line(&mut line).is_ok_and(|n| n > 2) {
         line.clear();
     }
-    let query = |key: &str| -> Option<u64> {
-        let at = first.find(&format!("{key}="))? + key.len() + 1;
-        first[at..].split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
-    };
-    let body = if query("since") == Some(41) {
-        sleep(query("timeout_ms").unwrap_or(0).min(60_000));
-        "{\"seq\":41,\"whole\":false,\"hosts\":[]}"
-    } else {
-        whole
-    };
+    Some(first)
+}
+
+fn query(first: &str, key: &str) -> Option<u64> {
+    let at = first.find(&format!("{key}="))? + key.len() + 1;
+    first[at..].split(|c: char| !c.is_ascii_digit()).next()?.parse().ok()
+}
+
+fn write_list(mut output: TcpStream, body: &str) {
     let _ = write!(
         output,
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
@@ -544,6 +605,15 @@
 {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(e));
     let at = listener.local_addr().unwrap();
+    serve_listener(listener, handle);
+    at
+}
+
+/// The same, at a listener.
+pub fn serve_listener<F>(listener: TcpListener, handle: F)
+where
+    F: Fn(&mut NodeConn, Vec<Vec<u8>>) -> bool + Send + Sync + 'static,
+{
     let handle = Arc::new(handle);
     std::thread::spawn(move || {
         for (number, stream) in listener.incoming().flatten().enumerate() {
@@ -551,7 +621,6 @@
             std::thread::spawn(move || serve_node(stream, number, &*handle));
         }
     });
-    at
 }
 
 pub fn serve_node<F>(stream: TcpStream, number: usize, handle: &F)
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,7 +1,8 @@
-//! The cases of the second review, and three trials: `stand-ins-2 NAME ROOT FOLDER TEMP`.
+//! The cases of the second review, and four trials: `stand-ins-2 NAME ROOT FOLDER TEMP`.
 
 mod kit;
 
+mod address;
 mod copies;
 mod crowd;
 mod departed;
@@ -24,6 +25,7 @@
     });
     match name.as_str() {
         "window" => window::run(&place),
+        "address" => address::run(&place),
         "crowd" => crowd::run(&place),
         "copies" => copies::run(&place),
         "stop-late" => stop_late::run(&place),
