--- a/review/stand-ins-2/address.rs
+++ b/review/stand-ins-2/address.rs
@@ -33,11 +33,16 @@
     for (way, listener) in ways.into_iter().enumerate() {
         // The node knows a repeat by its key and by the address that it comes in on.
         let memory: Arc<Mutex<HashSet<String>>> = Arc::default();
-        let (record, ran, lists, without_first) = (record.clone(), ran.clone(), lists.clone(), without_first.clone());
+        let (record, ran, lists, without_first) =
+            (record.clone(), ran.clone(), lists.clone(), without_first.clone());
         serve_listener(listener, move |conn, words| {
             let key = field(&words, "k").unwrap_or_default();
             let is_new = memory.lock().unwrap().insert(key.clone());
-            record.note(format!("node s-0, address {}: SET, key of the write {key}, {}", way + 1, if is_new { "new here" } else { "a repeat, dropped" }));
+            record.note(format!(
+                "node s-0, address {}: SET, key of the write {key}, {}",
+                way + 1,
+                if is_new { "new here" } else { "a repeat, dropped" }
+            ));
             if is_new {
                 let times = ran.add(&key);
                 record.note(format!("node s-0, address {}: carried out, {times} time(s) so far", way + 1));
@@ -72,12 +77,22 @@
     sleep(1000);
     let mut client = Client::to(proxy.listen);
     record.note(format!("client: SET, d=1000, k={WRITE_KEY}"));
-    client.send_words(&["CACHE.SET", "7f3a9c21e0b4d655", "9b1f03aa5c7e2d41", &format!("c=swap-record,d=1000,k={WRITE_KEY}"), "charge=80"]);
+    client.send_words(&[
+        "CACHE.SET",
+        "7f3a9c21e0b4d655",
+        "9b1f03aa5c7e2d41",
+        &format!("c=swap-record,d=1000,k={WRITE_KEY}"),
+        "charge=80",
+    ]);
     let answer = client.answer(ms(3000)).unwrap_or(Answer::End("never"));
     record.note(format!("client: {}", answer.short()));
     sleep(300);
     let times = ran.get(WRITE_KEY);
-    verdict(place, times > 1, &format!("the write was carried out {times} time(s); the client has {}", answer.short()))
+    verdict(
+        place,
+        times > 1,
+        &format!("the write was carried out {times} time(s); the client has {}", answer.short()),
+    )
 }
 
 fn bind(at: &str) -> TcpListener {
--- a/review/stand-ins-2/copies.rs
+++ b/review/stand-ins-2/copies.rs
@@ -75,7 +75,10 @@
                 let seen = come.add(&number);
                 record.note(format!("node s-{n}: {} {key}, request {id}", text(&words[0])));
                 sleep(WORK_MS);
-                let bytes = served(if write { b"done".to_vec() } else { format!("pack {key}: charge 80").into_bytes() }.as_slice());
+                let bytes = served(
+                    if write { b"done".to_vec() } else { format!("pack {key}: charge 80").into_bytes() }
+                        .as_slice(),
+                );
                 conn.write(&bytes);
                 record.note(format!("node s-{n}: answer to {id}"));
                 // One answer in four has a second copy: that of each proxy's first write.
@@ -99,7 +102,13 @@
         let settings = Settings {
             classes: vec![
                 Class { name: "pack-lookup", aim_ms: 300, deadline_ms: 750, effect: "safe", window_ms: 0 },
-                Class { name: "swap-record", aim_ms: 500, deadline_ms: 1000, effect: "keyed", window_ms: 1000 },
+                Class {
+                    name: "swap-record",
+                    aim_ms: 500,
+                    deadline_ms: 1000,
+                    effect: "keyed",
+                    window_ms: 1000,
+                },
             ],
             proxies: 4,
             cancelling: true,
@@ -111,7 +120,13 @@
             let key = format!("7f3a9c21e0b4{n:02}{pair:02}");
             let (set, get) = (format!("w{n}-{pair}"), format!("r{n}-{pair}"));
             // A kiosk writes a pack's record and reads it again.
-            client.send_words(&["CACHE.SET", &key, &set, &format!("c=swap-record,d=1000,k=k{set}"), "charge=80"]);
+            client.send_words(&[
+                "CACHE.SET",
+                &key,
+                &set,
+                &format!("c=swap-record,d=1000,k=k{set}"),
+                "charge=80",
+            ]);
             let receipt = client.answer(ms(3000)).unwrap_or(Answer::End("never"));
             record.note(format!("client: answer to {set}: {}", receipt.short()));
             if receipt.value().is_some_and(|v| v != b"done") {
@@ -134,6 +149,10 @@
     verdict(
         place,
         !wrong.is_empty(),
-        &format!("{copies} second copies; {right} of {} reads right, {} answers wrong; {first}", PROXIES * PAIRS, wrong.len()),
+        &format!(
+            "{copies} second copies; {right} of {} reads right, {} answers wrong; {first}",
+            PROXIES * PAIRS,
+            wrong.len()
+        ),
     )
 }
--- a/review/stand-ins-2/crowd.rs
+++ b/review/stand-ins-2/crowd.rs
@@ -26,7 +26,13 @@
         .collect();
     let (discovery, list) = discovery(&nodes);
     let settings = Settings {
-        classes: vec![Class { name: "pack-lookup", aim_ms: 300, deadline_ms: 750, effect: "safe", window_ms: 0 }],
+        classes: vec![Class {
+            name: "pack-lookup",
+            aim_ms: 300,
+            deadline_ms: 750,
+            effect: "safe",
+            window_ms: 0,
+        }],
         proxies: 4,
         cancelling: true,
         connect_timeout_ms: 120,
@@ -54,7 +60,8 @@
                 };
                 let key = format!("7f3a9c21e0b4d65{c}");
                 let begin = Instant::now();
-                let written = client.send_words(&["CACHE.GET", &key, &id, &format!("c=pack-lookup,d={DEADLINE_MS}")]);
+                let written =
+                    client.send_words(&["CACHE.GET", &key, &id, &format!("c=pack-lookup,d={DEADLINE_MS}")]);
                 record.note(format!("client {c}: GET, request {id}, written whole: {written}"));
                 let answer = client.answer(ms(8_000));
                 let after = begin.elapsed().as_millis() as u64;
@@ -62,7 +69,10 @@
                 let shut_unread = matches!(answer, Some(Answer::End(_)));
                 let what = answer.as_ref().map_or("no answer".into(), Answer::short);
                 record.note(format!("client {c}: {what} after {after} ms"));
-                (written && after > LOST_AFTER_MS && !(shut_unread && after <= LOST_AFTER_MS), format!("{what} after {after} ms"))
+                (
+                    written && after > LOST_AFTER_MS && !(shut_unread && after <= LOST_AFTER_MS),
+                    format!("{what} after {after} ms"),
+                )
             })
         })
         .collect();
--- a/review/stand-ins-2/departed.rs
+++ b/review/stand-ins-2/departed.rs
@@ -26,7 +26,13 @@
         .collect();
     let (discovery, list) = discovery(&nodes);
     let settings = Settings {
-        classes: vec![Class { name: "pack-lookup", aim_ms: 300, deadline_ms: 750, effect: "safe", window_ms: 0 }],
+        classes: vec![Class {
+            name: "pack-lookup",
+            aim_ms: 300,
+            deadline_ms: 750,
+            effect: "safe",
+            window_ms: 0,
+        }],
         proxies: 4,
         cancelling: true,
         connect_timeout_ms: 120,
@@ -51,6 +57,20 @@
     let closed = Instant::now();
     record.note("client: closed");
     sleep(1500);
-    let late: Vec<u128> = seen.lock().unwrap().iter().filter(|at| **at > closed).map(|at| at.duration_since(closed).as_millis()).filter(|late| *late > 100).collect();
-    verdict(place, !late.is_empty(), &format!("{} attempts in all; begun over 100 ms after the close: {late:?}", seen.lock().unwrap().len()))
+    let late: Vec<u128> = seen
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|at| **at > closed)
+        .map(|at| at.duration_since(closed).as_millis())
+        .filter(|late| *late > 100)
+        .collect();
+    verdict(
+        place,
+        !late.is_empty(),
+        &format!(
+            "{} attempts in all; begun over 100 ms after the close: {late:?}",
+            seen.lock().unwrap().len()
+        ),
+    )
 }
--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -87,8 +87,10 @@
 /// The value of `run` in the deploy file.
 pub fn run_command(root: &Path) -> String {
     let file = root.join("deploy/balancer.toml");
-    let text = std::fs::read_to_string(&file).unwrap_or_else(|e| cannot_run(format!("{}: {e}", file.display())));
-    let line = text.lines().find(|l| l.trim_start().starts_with("run ") || l.trim_start().starts_with("run="));
+    let text =
+        std::fs::read_to_string(&file).unwrap_or_else(|e| cannot_run(format!("{}: {e}", file.display())));
+    let line =
+        text.lines().find(|l| l.trim_start().starts_with("run ") || l.trim_start().starts_with("run="));
     let value = line.and_then(|l| l.split_once('"')).and_then(|(_, rest)| rest.split_once('"'));
     value.map(|(v, _)| v.to_owned()).unwrap_or_else(|| cannot_run("no run command in the deploy file"))
 }
@@ -124,7 +126,14 @@
     }
 
     /// Starts a proxy by the deploy file's command, and waits until it answers PING.
-    pub fn proxy(&self, name: &str, discovery: SocketAddr, known: &str, settings: &str, memory_mb: u32) -> Proxy {
+    pub fn proxy(
+        &self,
+        name: &str,
+        discovery: SocketAddr,
+        known: &str,
+        settings: &str,
+        memory_mb: u32,
+    ) -> Proxy {
         self.proxy_with(name, discovery, known, settings, memory_mb, 1024)
     }
 
@@ -409,7 +418,9 @@
             Answer::Bulk(None) => "null".into(),
             Answer::Bulk(Some(b)) if b.len() <= 60 => format!("{:?}", text(b)),
             Answer::Bulk(Some(b)) => format!("{} bytes", b.len()),
-            Answer::Array(all) => format!("[{}]", all.iter().map(Answer::short).collect::<Vec<_>>().join(", ")),
+            Answer::Array(all) => {
+                format!("[{}]", all.iter().map(Answer::short).collect::<Vec<_>>().join(", "))
+            }
             Answer::Unreadable(t) => format!("unreadable: {t:?}"),
             Answer::End(how) => format!("connection ended {how}"),
         }
--- a/review/stand-ins-2/queued.rs
+++ b/review/stand-ins-2/queued.rs
@@ -22,7 +22,8 @@
     let homes: Arc<Mutex<HashMap<String, usize>>> = Arc::default();
     let nodes: Vec<(String, std::net::SocketAddr)> = (0..NODES)
         .map(|n| {
-            let (record, value, silent, homes) = (record.clone(), value.clone(), silent.clone(), homes.clone());
+            let (record, value, silent, homes) =
+                (record.clone(), value.clone(), silent.clone(), homes.clone());
             let at = node(move |conn, words| {
                 homes.lock().unwrap().insert(text(&words[1]), n);
                 if is_set(&silent) && n < SILENT {
@@ -49,15 +50,23 @@
     let proxy = place.proxy("n0", discovery, &list, &settings.json(), MEMORY_MB);
     // A calm time, in which each key is written and read.
     let mut client = Client::to(proxy.listen);
-    let keys: Vec<String> = (0..200).map(|i| format!("{:016x}", 0x7f3a_9c21_0000_0000u64 + i * 7919)).collect();
+    let keys: Vec<String> =
+        (0..200).map(|i| format!("{:016x}", 0x7f3a_9c21_0000_0000u64 + i * 7919)).collect();
     for (i, key) in keys.iter().enumerate() {
-        client.send_words(&["CACHE.SET", key, &format!("calm-w{i}"), &format!("c=swap-record,d=1000,k=calm{i}"), "charge"]);
+        client.send_words(&[
+            "CACHE.SET",
+            key,
+            &format!("calm-w{i}"),
+            &format!("c=swap-record,d=1000,k=calm{i}"),
+            "charge",
+        ]);
         client.answer(ms(3000));
         client.send_words(&["CACHE.GET", key, &format!("calm-r{i}"), "c=pack-lookup,d=750"]);
         client.answer(ms(3000));
     }
     let homes_now = homes.lock().unwrap().clone();
-    let (at_silent, at_others): (Vec<&String>, Vec<&String>) = keys.iter().partition(|k| homes_now.get(*k).is_some_and(|n| *n < SILENT));
+    let (at_silent, at_others): (Vec<&String>, Vec<&String>) =
+        keys.iter().partition(|k| homes_now.get(*k).is_some_and(|n| *n < SILENT));
     if at_silent.len() < CLIENTS || at_others.len() < 20 {
         cannot_run("too few keys at the nodes that fall silent");
     }
@@ -74,12 +83,23 @@
                 use std::io::Write;
                 sleep(c as u64 * 40);
                 let mut client = Client::to(listen);
-                let mut bytes = encode(&["CACHE.SET", &first, &format!("c{c}w"), &format!("c=swap-record,d=1000,k=busy{c}"), "charge"]);
+                let mut bytes = encode(&[
+                    "CACHE.SET",
+                    &first,
+                    &format!("c{c}w"),
+                    &format!("c=swap-record,d=1000,k=busy{c}"),
+                    "charge",
+                ]);
                 for batch in 0..BATCHES {
                     for i in 0..READS_A_BATCH {
                         let n = batch * READS_A_BATCH + i;
                         let key = &others[(c * 31 + n) % others.len()];
-                        bytes.extend(encode(&["CACHE.GET", key, &format!("c{c}r{n}"), "c=pack-lookup,d=750"]));
+                        bytes.extend(encode(&[
+                            "CACHE.GET",
+                            key,
+                            &format!("c{c}r{n}"),
+                            "c=pack-lookup,d=750",
+                        ]));
                     }
                     if client.stream.write_all(&bytes).is_err() {
                         break;
@@ -113,5 +133,12 @@
     let lost: usize = results.iter().map(|r| r.0).sum();
     let served: usize = results.iter().map(|r| r.1).sum();
     let ended = has_ended(proxy.pid);
-    verdict(place, lost > 0 || ended, &format!("{lost} of {} requests never answered, {served} served; the proxy has ended: {ended}", CLIENTS * (READS + 1)))
+    verdict(
+        place,
+        lost > 0 || ended,
+        &format!(
+            "{lost} of {} requests never answered, {served} served; the proxy has ended: {ended}",
+            CLIENTS * (READS + 1)
+        ),
+    )
 }
--- a/review/stand-ins-2/readers.rs
+++ b/review/stand-ins-2/readers.rs
@@ -35,7 +35,13 @@
         .collect();
     let (discovery, list) = discovery(&nodes);
     let settings = Settings {
-        classes: vec![Class { name: "pack-lookup", aim_ms: 300, deadline_ms: 750, effect: "safe", window_ms: 0 }],
+        classes: vec![Class {
+            name: "pack-lookup",
+            aim_ms: 300,
+            deadline_ms: 750,
+            effect: "safe",
+            window_ms: 0,
+        }],
         proxies: 3,
         cancelling: true,
         connect_timeout_ms: 120,
@@ -96,6 +102,11 @@
     verdict(
         place,
         most > u64::from(MEMORY_MB) * 1024,
-        &format!("the proxy had {most} kB at most, {} kB are allowed; {} of {} requests never answered", MEMORY_MB * 1024, CLIENTS * READS - answers, CLIENTS * READS),
+        &format!(
+            "the proxy had {most} kB at most, {} kB are allowed; {} of {} requests never answered",
+            MEMORY_MB * 1024,
+            CLIENTS * READS - answers,
+            CLIENTS * READS
+        ),
     )
 }
--- a/review/stand-ins-2/same_id.rs
+++ b/review/stand-ins-2/same_id.rs
@@ -19,7 +19,13 @@
     });
     let (discovery, list) = discovery(&[("s-0".into(), at)]);
     let settings = Settings {
-        classes: vec![Class { name: "pack-lookup", aim_ms: 300, deadline_ms: 750, effect: "safe", window_ms: 0 }],
+        classes: vec![Class {
+            name: "pack-lookup",
+            aim_ms: 300,
+            deadline_ms: 750,
+            effect: "safe",
+            window_ms: 0,
+        }],
         proxies: 4,
         cancelling: true,
         connect_timeout_ms: 120,
@@ -37,5 +43,9 @@
     let still_open = usual.answer(ms(3000));
     record.note(format!("usual client: {}", still_open.map_or("no answer".into(), |a| a.short())));
     let broken = trouble && answer.value().is_some();
-    verdict(place, broken, &format!("the second client with the id of an open request has {}", answer.short()))
+    verdict(
+        place,
+        broken,
+        &format!("the second client with the id of an open request has {}", answer.short()),
+    )
 }
--- a/review/stand-ins-2/stop_late.rs
+++ b/review/stand-ins-2/stop_late.rs
@@ -15,10 +15,17 @@
         let record = record.clone();
         node(move |conn, words| {
             let id = text(&words[2]);
-            record.note(format!("node s-0: {} request {id}, d={}", text(&words[0]), field(&words, "d").unwrap_or_default()));
+            record.note(format!(
+                "node s-0: {} request {id}, d={}",
+                text(&words[0]),
+                field(&words, "d").unwrap_or_default()
+            ));
             sleep(WORK_MS);
             let written = conn.write(&served(b"report"));
-            record.note(format!("node s-0: answers {id}{}", if written { "" } else { ": the connection is gone" }));
+            record.note(format!(
+                "node s-0: answers {id}{}",
+                if written { "" } else { ": the connection is gone" }
+            ));
             written
         })
     };
@@ -26,7 +33,13 @@
     let settings = Settings {
         classes: vec![
             Class { name: "pack-lookup", aim_ms: 300, deadline_ms: 750, effect: "safe", window_ms: 0 },
-            Class { name: "pack-report", aim_ms: 4_500, deadline_ms: DEADLINE_MS, effect: "safe", window_ms: 0 },
+            Class {
+                name: "pack-report",
+                aim_ms: 4_500,
+                deadline_ms: DEADLINE_MS,
+                effect: "safe",
+                window_ms: 0,
+            },
         ],
         proxies: 4,
         cancelling: true,
@@ -37,7 +50,12 @@
     let clients: Vec<_> = (0..4)
         .map(|c| {
             let mut client = Client::to(proxy.listen);
-            client.send_words(&["CACHE.GET", &format!("7f3a9c21e0b4d65{c}"), &format!("9b1f03aa5c7e2d4{c}"), &format!("c=pack-report,d={DEADLINE_MS}")]);
+            client.send_words(&[
+                "CACHE.GET",
+                &format!("7f3a9c21e0b4d65{c}"),
+                &format!("9b1f03aa5c7e2d4{c}"),
+                &format!("c=pack-report,d={DEADLINE_MS}"),
+            ]);
             record.note(format!("client {c}: GET, d={DEADLINE_MS}, written"));
             client
         })
--- a/review/stand-ins-2/window.rs
+++ b/review/stand-ins-2/window.rs
@@ -35,7 +35,9 @@
             let since = *memory.lock().unwrap().entry(key.clone()).or_insert(now);
             let age = now.duration_since(since).as_millis() as u64;
             let repeat = attempt > 1 && age <= WINDOW_MS + 50;
-            record.note(format!("node s-0: SET, key of the write {key}, attempt {attempt}, {age} ms after the first"));
+            record.note(format!(
+                "node s-0: SET, key of the write {key}, attempt {attempt}, {age} ms after the first"
+            ));
             if repeat {
                 record.note("node s-0: a repeat, dropped; the receipt is given again");
             } else {
@@ -82,7 +84,13 @@
     let settings = Settings {
         classes: vec![
             Class { name: "pack-lookup", aim_ms: 300, deadline_ms: 750, effect: "safe", window_ms: 0 },
-            Class { name: "swap-record", aim_ms: 1200, deadline_ms: 2500, effect: "keyed", window_ms: WINDOW_MS },
+            Class {
+                name: "swap-record",
+                aim_ms: 1200,
+                deadline_ms: 2500,
+                effect: "keyed",
+                window_ms: WINDOW_MS,
+            },
         ],
         proxies: 4,
         cancelling: true,
@@ -91,7 +99,13 @@
     let proxy = place.proxy("n0", discovery, &list, &settings.json(), 128);
     let mut client = Client::to(proxy.listen);
     record.note("client: SET, d=2000, k=5c0f6e1a2b3d4c59");
-    client.send_words(&["CACHE.SET", "7f3a9c21e0b4d655", "9b1f03aa5c7e2d41", "c=swap-record,d=2000,k=5c0f6e1a2b3d4c59", "charge=80"]);
+    client.send_words(&[
+        "CACHE.SET",
+        "7f3a9c21e0b4d655",
+        "9b1f03aa5c7e2d41",
+        "c=swap-record,d=2000,k=5c0f6e1a2b3d4c59",
+        "charge=80",
+    ]);
     let answer = client.answer(ms(4000)).unwrap_or(Answer::End("never"));
     record.note(format!("client: {}", answer.short()));
     sleep(300);
