A write that may have arrived stays at its address when the list drops it

Cause: the address that a write must use at a node was asked for only while the list named more than one address of the node. A list that left one of two switched the rule off, and a node with a single address never had it. Besides, ids of addresses began at 1 again for a node that had left the list and returned, so a new address could pass for the old one.

Change: the attempts that may have reached a node are kept with node and address id, and the id alone decides. Ids contain the number of the node's record. The address is checked again when the write enters its batch. Where the address has left the list the attempt ends unsent and does not count against the node.

--- a/crates/addresses/src/table.rs
+++ b/crates/addresses/src/table.rs
@@ -34,9 +34,12 @@
 /// The same for one of several consecutive cancelled requests.
 const CANCELLED_WAIT_DEVIATIONS: Nanos = 1;
 
-/// Identifies an address within its table, for the lifetime of the table.
+/// Identifies an address among all tables of a process. A later table of the same box has other ids.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct AddressId(u32);
+pub struct AddressId {
+    table: u64,
+    entry: u32,
+}
 
 /// An address and what is known of its health.
 #[derive(Clone, Debug)]
@@ -61,8 +64,10 @@
 /// The addresses of one box.
 #[derive(Clone, Debug)]
 pub struct AddressTable {
+    /// The number of this table, which its ids contain.
+    number: u64,
     entries: Vec<Entry>,
-    last_id: u32,
+    last_entry: u32,
     /// The family that answered last.
     preferred_family: Option<Family>,
     /// The smoothed mean and deviation of the time that the box takes to answer.
@@ -71,11 +76,12 @@
 }
 
 impl AddressTable {
-    /// An empty table.
-    pub fn new(seed: u64) -> Self {
+    /// An empty table. No two tables of a process may have the same number.
+    pub fn new(number: u64, seed: u64) -> Self {
         AddressTable {
+            number,
             entries: Vec::new(),
-            last_id: 0,
+            last_entry: 0,
             preferred_family: None,
             answer_time: None,
             rng: fastrand::Rng::with_seed(seed),
@@ -93,9 +99,9 @@
             let entry = match at {
                 Some(at) => Entry { removed_at: None, ..old.swap_remove(at) },
                 None => {
-                    self.last_id += 1;
+                    self.last_entry += 1;
                     Entry {
-                        id: AddressId(self.last_id),
+                        id: AddressId { table: self.number, entry: self.last_entry },
                         address: address.clone(),
                         handshake: None,
                         consecutive_failures: 0,
--- a/crates/addresses/tests/table.rs
+++ b/crates/addresses/tests/table.rs
@@ -12,7 +12,7 @@
 }
 
 fn table(texts: &[&str]) -> AddressTable {
-    let mut table = AddressTable::new(7);
+    let mut table = AddressTable::new(1, 7);
     assert!(table.update(&list(texts), 0));
     table
 }
@@ -228,7 +228,7 @@
 
     #[test]
     fn any_history_keeps_the_bounds(history in proptest::collection::vec(step(), 1..200), seed in any::<u64>()) {
-        let mut table = AddressTable::new(seed);
+        let mut table = AddressTable::new(1, seed);
         let (mut now, mut ids) = (0, Vec::new());
         // The listed addresses that have answered since their last failure, and when they did.
         let mut healthy: std::collections::HashMap<AddressId, Nanos> = Default::default();
--- a/crates/proxy/src/boxes/connection.rs
+++ b/crates/proxy/src/boxes/connection.rs
@@ -2,7 +2,7 @@
 
 use super::socket::Dial;
 use crate::request::Query;
-use addresses::ConnectionRace;
+use addresses::{AddressId, ConnectionRace};
 use calicosaddle::api::{Nanos, RequestId, ServerId};
 use pipeline::{CommandKind, ForeignReplyDetector, Pipeline, ReplyArrival, SettleDelay};
 use resp::{HelloReplyParser, Protocol, ReplyReader};
@@ -26,6 +26,20 @@
     pub deadline: Nanos,
 }
 
+impl QueuedAttempt {
+    /// The address that a write must use at a node, if it may have reached the node over that address already.
+    ///
+    /// A node that detects repeated writes by the address they come in on would execute the write a second time if it
+    /// came over another address. The write uses the same address or is not sent at all, also once the address has left
+    /// the list. With `repeat_across_addresses` nodes detect repeats on all their addresses, and none is required.
+    pub fn required_address(&self, server: ServerId, repeat_across_addresses: bool) -> Option<AddressId> {
+        if repeat_across_addresses {
+            return None;
+        }
+        self.query.written.borrow().address_at(server)
+    }
+}
+
 impl pipeline::Command for QueuedAttempt {
     type Tag = (RequestId, u32);
 
--- a/crates/proxy/src/boxes/membership.rs
+++ b/crates/proxy/src/boxes/membership.rs
@@ -38,8 +38,10 @@
         for host in &list.hosts {
             let entry = &host.entry;
             let drained = self.drained.contains(&entry.server);
-            let new = || Node::new(host.name.clone(), entry.clone(), drained);
-            let node = self.nodes.entry(entry.server).or_insert_with(new);
+            let node = self.nodes.entry(entry.server).or_insert_with(|| {
+                self.last_node += 1;
+                Node::new(self.last_node, host.name.clone(), entry.clone(), drained)
+            });
             // A removed host may be listed without addresses; the known ones stay then.
             let has_addresses = !host.addresses.is_empty() || entry.state != ServerState::Removed;
             let moved = (has_addresses && node.addresses.update(&host.addresses, now))
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -95,6 +95,8 @@
 #[derive(Debug)]
 pub struct Boxes {
     nodes: FxHashMap<ServerId, Node>,
+    /// The number of the node recorded last.
+    last_node: u64,
     /// The nodes drained by operators, whether listed or not.
     drained: FxHashSet<ServerId>,
     registry: Registry,
@@ -149,6 +151,7 @@
     ) -> Self {
         let mut boxes = Boxes {
             nodes: FxHashMap::default(),
+            last_node: 0,
             drained: FxHashSet::default(),
             registry,
             repeat_writes_across_addresses: options.boxes.repeat_writes_across_addresses,
--- a/crates/proxy/src/boxes/node.rs
+++ b/crates/proxy/src/boxes/node.rs
@@ -42,9 +42,9 @@
 }
 
 impl Node {
-    /// A newly listed node.
-    pub fn new(name: Box<str>, entry: ServerEntry, drained: bool) -> Self {
-        let addresses = AddressTable::new(entry.server);
+    /// A newly listed node; `number` is different for each record of a node since the start.
+    pub fn new(number: u64, name: Box<str>, entry: ServerEntry, drained: bool) -> Self {
+        let addresses = AddressTable::new(number, entry.server);
         Node {
             name,
             entry,
@@ -132,7 +132,7 @@
 
     #[test]
     fn hello_is_sent_until_a_node_refuses_or_ignores_it_too_often_and_again_after_its_restart() {
-        let mut node = Node::new("s-7".into(), ServerEntry::default(), false);
+        let mut node = Node::new(1, "s-7".into(), ServerEntry::default(), false);
         (1..MAX_UNANSWERED_HELLOS).for_each(|_| node.record_unanswered_hello());
         assert!(node.should_send_hello());
         // An answer in between shows that the node reads HELLO.
--- a/crates/proxy/src/boxes/placement.rs
+++ b/crates/proxy/src/boxes/placement.rs
@@ -18,11 +18,13 @@
         queued: QueuedAttempt,
         now: Nanos,
     ) -> Option<(usize, Option<NewConnection>)> {
-        if !self.nodes.contains_key(&server) {
+        let required = queued.required_address(server, self.repeat_writes_across_addresses);
+        let is_listed = |node: &Node| required.is_none_or(|id| node.addresses.address(id).is_some());
+        if !self.nodes.get(&server).is_some_and(is_listed) {
             self.end_unsent(queued, Status::NotSent);
             return None;
         }
-        let Some((key, new)) = self.place(server, &queued, now) else {
+        let Some((key, new)) = self.place(server, &queued, required, now) else {
             let connected = self.nodes.get(&server).is_some_and(|n| !n.connections.is_empty());
             self.end_unsent(queued, Status::without_connection(connected));
             return None;
@@ -47,21 +49,12 @@
         }
     }
 
-    /// The address that a write must use, if it may have reached the node over that address already.
-    ///
-    /// A node that detects repeated writes by the address they come in on would execute the write a second time if it
-    /// came over another address. The write uses the same address or is not sent at all.
-    fn required_address(&self, node: &Node, queued: &QueuedAttempt) -> Option<AddressId> {
-        let used = queued.query.sent_via.borrow();
-        let used = used.iter().find(|(server, _)| *server == node.entry.server).map(|(_, address)| *address);
-        used.filter(|_| !self.repeat_writes_across_addresses && node.addresses.len() > 1)
-    }
-
     /// Selects the connection for an attempt, opening one if necessary.
     fn place(
         &mut self,
         server: ServerId,
         queued: &QueuedAttempt,
+        required: Option<AddressId>,
         now: Nanos,
     ) -> Option<(usize, Option<NewConnection>)> {
         let node = self.nodes.get(&server)?;
@@ -71,7 +64,6 @@
         let streaming = node.connections.iter().filter(streaming).count().min(self.max_per_node);
         let may_open = node.connections.len() - streaming < self.max_per_node
             && node.connection_limit.allows(node.connections.len(), now);
-        let required = self.required_address(node, queued);
         let mut place = self.choose(node, queued, required, may_open, now);
         if place == Placement::New {
             if let (Some(key), new) = self.open(server, required, queued, now) {
@@ -162,7 +154,9 @@
         let connecting =
             node.connections.iter().filter(waits).min_by_key(|k| self.connections[**k].link.started_at);
         let Some(connecting) = connecting.copied() else { return };
-        let fits = |queued: &QueuedAttempt| node.can_carry(c, self.required_address(node, queued));
+        let fits = |queued: &QueuedAttempt| {
+            node.can_carry(c, queued.required_address(c.server, self.repeat_writes_across_addresses))
+        };
         if !self.connections[connecting].pipeline.peek_queued().is_some_and(fits) {
             return;
         }
--- a/crates/proxy/src/boxes/write.rs
+++ b/crates/proxy/src/boxes/write.rs
@@ -4,6 +4,7 @@
 use super::connection::Connection;
 use super::node::Node;
 use super::{Boxes, NodeEvent, QueuedAttempt, MAX_IDLE_BUFFER_BYTES, MS};
+use crate::write_history::WrittenAttempt;
 use addresses::AddressId;
 use calicosaddle::api::{Nanos, Status};
 use resp::{HelloReplyParser, Reply};
@@ -33,15 +34,17 @@
 }
 
 /// The outcome of an attempt that must not be written any more. While it waited, its node may have begun to drain or
-/// changed its address, its client may have left, or its deadline may have passed.
+/// changed its address, its client may have left, or its deadline may have passed. `required` is the only address over
+/// which it may be written, if there is one.
 fn outcome_instead_of_sending(
     queued: &QueuedAttempt,
     node: Option<&Node>,
     address: AddressId,
+    required: Option<AddressId>,
     now: Nanos,
 ) -> Option<Status> {
     let Some(node) = node.filter(|n| n.accepts_work()) else { return Some(Status::NotSent) };
-    if queued.query.send_until.get() <= now {
+    if queued.query.send_until.get() <= now || required.is_some_and(|id| id != address) {
         return Some(Status::NotSent);
     }
     let is_listed = node.addresses.address(address).is_some();
@@ -151,11 +154,12 @@
         if let Some(node) = self.nodes.get_mut(&c.server) {
             node.stats.writes += 1;
         }
-        let (destination, attempts_written) = ((c.server, c.link.address), &mut self.attempts_written);
+        let destination = WrittenAttempt { server: c.server, address: c.link.address };
+        let attempts_written = &mut self.attempts_written;
         c.pipeline.record_written(bytes, now, |attempt| {
             *attempts_written += 1;
             if attempt.query.write {
-                attempt.query.sent_via.borrow_mut().push(destination);
+                attempt.query.written.borrow_mut().record(destination);
             }
         });
         if !c.pipeline.has_batch() {
@@ -185,7 +189,9 @@
         {
             let Some(queued) = c.pipeline.pop_queued() else { break };
             let node = self.nodes.get_mut(&c.server);
-            if let Some(status) = outcome_instead_of_sending(&queued, node.as_deref(), c.link.address, now) {
+            let required = queued.required_address(c.server, self.repeat_writes_across_addresses);
+            let unsent = outcome_instead_of_sending(&queued, node.as_deref(), c.link.address, required, now);
+            if let Some(status) = unsent {
                 self.events.push_back(NodeEvent::Ended(queued.id, queued.attempt, status, Reply::default()));
                 continue;
             }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 mod shadow_traffic;
 mod streaming;
 mod timers;
+mod write_history;
 
 pub use observers::Subscriber;
 pub use platform::config;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -2,6 +2,7 @@
 //! and no attempt is under way. No sockets here; connections are represented by their numbers.
 
 use crate::platform::config::Config;
+use crate::write_history::WriteHistory;
 use calicosaddle::api::{server_id, Nanos, Request, RequestId, RetrySafety, ServerId};
 use resp::{Command, Protocol, Reply};
 use rustc_hash::FxHashMap;
@@ -46,8 +47,8 @@
     pub expected_work: Option<Nanos>,
     /// The client marked it as a retry.
     pub is_retry: bool,
-    /// For a write: the nodes and addresses to which its last byte was written, and which may have received it.
-    pub sent_via: RefCell<Vec<(ServerId, addresses::AddressId)>>,
+    /// For a write: its attempts that may have reached a node.
+    pub written: RefCell<WriteHistory>,
     /// No attempt is written from this time on. It is set when the client shuts down its sending side.
     pub send_until: Cell<Nanos>,
 }
@@ -138,7 +139,6 @@
         let hex = if name.len() <= 16 { u64::from_str_radix(name, 16).ok() } else { None };
         let key = hex.unwrap_or_else(|| server_id(&String::from_utf8_lossy(command.arg(1))));
         let class = class as u32;
-        let sent_via = RefCell::default();
         Ok(Query {
             timeout_range,
             class,
@@ -148,7 +148,7 @@
             timeout,
             expected_work,
             is_retry,
-            sent_via,
+            written: RefCell::default(),
             send_until: Cell::new(Nanos::MAX),
             command,
         })
--- a/crates/proxy/tests/addresses.rs
+++ b/crates/proxy/tests/addresses.rs
@@ -186,6 +186,94 @@
     }
 }
 
+/// Sends a write that reaches a node over the first of its addresses, applies the lists of its addresses, and resets the
+/// connection. Fails if the write reaches the node over another address. The numbers are indexes of addresses.
+fn assert_write_stays_at_its_address(listed: &[usize], later_lists: &[&[usize]]) {
+    let node = Server::many(4);
+    let entry = |addresses: &[usize]| {
+        let dials: Vec<String> = addresses.iter().map(|at| node.addresses[*at].to_string()).collect();
+        host_with_addresses("s-0", &dials)
+    };
+    let discovery = Server::start();
+    let proxy = Proxy::operated(&Server::many(0), DEFAULT_OPERATOR, |c| {
+        c["known"] = list(41, true, &[entry(listed)]);
+        subscribed(c, &discovery);
+    });
+    let mut watch = discovery.accept();
+    watch.request();
+    let mut client = proxy.client();
+    client.set(1, "put", 9_000, "v");
+    let (at_node, _) = node.command();
+    assert_eq!(at_node.at, listed[0]);
+    for (version, addresses) in (42..).zip(later_lists) {
+        watch.list(&list(version, true, &[entry(addresses)]));
+        watch = discovery.accept();
+        watch.request();
+    }
+    at_node.reset();
+    let answer = client.line();
+    assert!(answer.starts_with("-BUSY"), "addresses {listed:?}, then {later_lists:?}: {answer}");
+    assert!(node.is_untouched(), "addresses {listed:?}, then {later_lists:?}: connected to another address");
+}
+
+/// Guards against a write that takes effect twice when the list drops the address that it was sent over.
+#[test]
+fn a_write_that_may_have_arrived_stays_at_its_address_when_the_list_drops_that_address() {
+    assert_write_stays_at_its_address(&[0, 1], &[&[1]]);
+    assert_write_stays_at_its_address(&[0, 1, 2], &[&[1, 2]]);
+    assert_write_stays_at_its_address(&[0, 1, 2], &[&[2]]);
+    assert_write_stays_at_its_address(&[0, 1, 2, 3], &[&[0, 2], &[2]]);
+}
+
+/// Guards against a write that takes effect twice when its node moves to other addresses.
+#[test]
+fn a_write_that_may_have_arrived_stays_at_its_address_when_its_node_moves() {
+    assert_write_stays_at_its_address(&[0], &[&[1]]);
+    assert_write_stays_at_its_address(&[0], &[&[1, 2]]);
+    assert_write_stays_at_its_address(&[0, 1], &[&[2, 3]]);
+}
+
+/// Guards against a write that takes effect twice when its node leaves the list and returns at another address, whose
+/// identity must not be taken for that of the address before.
+#[test]
+fn a_write_that_may_have_arrived_stays_at_its_address_when_its_node_leaves_and_returns_elsewhere() {
+    let (nodes, returned, discovery) = (Server::many(2), Server::start(), Server::start());
+    let entry = |at: usize| host_with_addresses(&format!("s-{at}"), &[nodes.addresses[at].to_string()]);
+    let proxy = Proxy::operated(&Server::many(0), DEFAULT_OPERATOR, |c| {
+        c["known"] = list(41, true, &[entry(0), entry(1)]);
+        subscribed(c, &discovery);
+    });
+    let mut watch = discovery.accept();
+    watch.request();
+    let mut client = proxy.client();
+    client.set(1, "put", 9_000, "v");
+    let (first, _) = nodes.command();
+    let (left, stays) = (first.at, 1 - first.at);
+    watch.list(&list(42, true, &[entry(stays)]));
+    watch = discovery.accept();
+    watch.request();
+    first.reset();
+    let (second, _) = nodes.command();
+    assert_eq!(second.at, stays);
+    let elsewhere = host_with_addresses(&format!("s-{left}"), &[returned.addresses[0].to_string()]);
+    watch.list(&list(43, true, &[entry(stays), elsewhere]));
+    discovery.accept().request();
+    second.reset();
+    // The node that stays may get the write again, over the address that it had.
+    let (mut peers, started) = (Vec::new(), Instant::now());
+    while !client.has_input() {
+        assert!(
+            returned.is_untouched(),
+            "connected to the other address of a node that may have received it"
+        );
+        if let Some((at, _)) = nodes.soon(&mut peers) {
+            peers[at].send(RECEIPT);
+        }
+        assert!(started.elapsed() < PATIENCE, "no answer");
+    }
+    assert!(returned.is_untouched());
+}
+
 #[test]
 fn an_incompletely_written_write_counts_as_not_arrived_and_may_use_another_address() {
     // The listener accepts connections and reads nothing: the window fills in the middle of a long value.
