A repeat of a keyed write is not written after its window, however late it goes out

Cause: the dedup window was looked at when a repeat was decided on, not when its last byte is written, and only for later attempts against earlier ones. An attempt may wait for its connection, and a node may read it slowly.

Change: Class::repeat_window in the decision library is the one rule; the balancer uses it as before, and the proxy keeps when the last byte of each attempt was written and asks when a command enters its batch and before each further part of it. At the end of the window unwritten attempts end unsent, so the request is answered at once, and long ones without an answer are given up. A connection with a long value under way is closed so that the kernel discards what it holds of it.

--- a/crates/calicosaddle/src/balancer/candidates.rs
+++ b/crates/calicosaddle/src/balancer/candidates.rs
@@ -4,13 +4,11 @@
 use super::hash::mix;
 use super::request::OpenRequest;
 use super::server::Server;
-use super::{Balancer, MIN_DIVISOR, MS};
+use super::{Balancer, MIN_DIVISOR};
 use crate::api::*;
 
 /// A server is too slow for a request if its mean hit latency exceeds this fraction of the time left to the target.
 const MAX_HIT_LATENCY_FRACTION: f64 = 0.8;
-/// Margin before the end of the deduplication window, for the time that a request takes to reach the server.
-const DEDUP_MARGIN: Nanos = 100 * MS;
 /// A server has room while it has fewer attempts of this proxy than this number plus this multiple of the mean
 /// number for its weight.
 const BASE_INFLIGHT: f64 = 2.0;
@@ -104,7 +102,7 @@
             RetrySafety::Safe => true,
             RetrySafety::Unsafe => ran.next().is_none(),
             RetrySafety::Keyed => ran.all(|a| {
-                let in_window = now + DEDUP_MARGIN < a.sent_at + class.dedup_window;
+                let in_window = class.repeat_window().is_none_or(|window| now < a.sent_at + window);
                 in_window
                     && match class.dedup_scope {
                         DedupScope::All => true,
--- a/crates/calicosaddle/src/lib.rs
+++ b/crates/calicosaddle/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod api;
 pub mod balancer;
+mod repeats;
 
 pub use balancer::Balancer;
--- a/crates/pipeline/src/queue.rs
+++ b/crates/pipeline/src/queue.rs
@@ -135,6 +135,17 @@
         !self.batch.is_empty()
     }
 
+    /// Whether a command with a large value is in the batch or in flight: the kernel may not have delivered all of it.
+    pub fn has_large_value_under_way(&self) -> bool {
+        let written = self.in_flight.iter().map(|c| c.kind);
+        written.chain(self.batch.iter().map(|(c, _)| c.kind())).any(|kind| kind.large_value)
+    }
+
+    /// The first command of the batch, the only one of which a part may be written.
+    pub fn peek_batch(&self) -> Option<&C> {
+        self.batch.front().map(|(command, _)| command)
+    }
+
     /// The tag of the command whose answer comes next: `None` if nothing is in flight, `Some(None)` if that command is
     /// cancelled.
     pub fn head(&self) -> Option<Option<C::Tag>> {
--- a/crates/proxy/src/boxes/close.rs
+++ b/crates/proxy/src/boxes/close.rs
@@ -127,6 +127,9 @@
         if let Some(node) = self.nodes.get_mut(&c.server) {
             node.connections.retain(|k| *k != key);
         }
+        if c.pipeline.has_large_value_under_way() {
+            c.link.socket.discard_on_close();
+        }
         let streaming = c.pipeline.head().flatten().filter(|_| c.streaming);
         let (mut broke, mut uncertain) = (false, 0);
         for (tag, fate) in c.pipeline.into_outcomes() {
--- a/crates/proxy/src/boxes/connection.rs
+++ b/crates/proxy/src/boxes/connection.rs
@@ -8,9 +8,6 @@
 use resp::{HelloReplyParser, Protocol, ReplyReader};
 use std::rc::Rc;
 
-/// The longest written value that is copied behind its command. A longer one is sent from its own buffer.
-const MAX_COPIED_VALUE_BYTES: usize = 16 << 10;
-
 /// An attempt that waits to be written.
 #[derive(Debug)]
 pub struct QueuedAttempt {
@@ -33,11 +30,16 @@
     /// came over another address. The write uses the same address or is not sent at all, also once the address has left
     /// the list. With `repeat_across_addresses` nodes detect repeats on all their addresses, and none is required.
     pub fn required_address(&self, server: ServerId, repeat_across_addresses: bool) -> Option<AddressId> {
-        if repeat_across_addresses {
+        if repeat_across_addresses || !self.query.write {
             return None;
         }
         self.query.written.borrow().address_at(server)
     }
+
+    /// Whether its last byte may be written now, given the other attempts of its request.
+    pub fn may_be_written(&self, now: Nanos) -> bool {
+        self.query.written.borrow().allows(self.attempt, now)
+    }
 }
 
 impl pipeline::Command for QueuedAttempt {
@@ -48,10 +50,7 @@
     }
 
     fn kind(&self) -> CommandKind {
-        CommandKind {
-            write: self.query.write,
-            large_value: self.query.value().len() > MAX_COPIED_VALUE_BYTES,
-        }
+        CommandKind { write: self.query.write, large_value: self.query.is_long() }
     }
 }
 
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -54,6 +54,8 @@
 /// An event on the connections to cache nodes.
 #[derive(Debug)]
 pub enum NodeEvent {
+    /// The last byte of an attempt of a request that may have an effect was written.
+    Written(RequestId),
     /// An attempt ended without a reply that can be given to the client.
     Ended(RequestId, u32, Status, Reply),
     /// An attempt was served by a whole reply: the reply, the bytes that came with it, and the response time, which is
--- a/crates/proxy/src/boxes/socket.rs
+++ b/crates/proxy/src/boxes/socket.rs
@@ -7,6 +7,7 @@
 use mio::{Interest, Registry, Token};
 use std::io::{self, IoSlice, Read, Write};
 use std::mem::MaybeUninit;
+use std::time::Duration;
 
 /// A stream socket to a cache node.
 #[derive(Debug)]
@@ -42,6 +43,15 @@
         }
     }
 
+    /// Discards what the kernel has not delivered yet when the socket is closed. Otherwise the kernel would go on sending it.
+    pub fn discard_on_close(&self) {
+        // Without the option the close is as usual; the peer sees its end either way.
+        let _ = match self {
+            Socket::Tcp(s) => socket2::SockRef::from(s).set_linger(Some(Duration::ZERO)),
+            Socket::Unix(_) => Ok(()),
+        };
+    }
+
     /// Whether the socket is connected.
     ///
     /// # Errors
--- a/crates/proxy/src/boxes/write.rs
+++ b/crates/proxy/src/boxes/write.rs
@@ -34,8 +34,9 @@
 }
 
 /// The outcome of an attempt that must not be written any more. While it waited, its node may have begun to drain or
-/// changed its address, its client may have left, or its deadline may have passed. `required` is the only address over
-/// which it may be written, if there is one.
+/// changed its address, its client may have left, its deadline may have passed, or another attempt may have been carried
+/// out so long ago that nodes would not recognise this one as its repeat. `required` is the only address over which it may
+/// be written, if there is one.
 fn outcome_instead_of_sending(
     queued: &QueuedAttempt,
     node: Option<&Node>,
@@ -44,7 +45,8 @@
     now: Nanos,
 ) -> Option<Status> {
     let Some(node) = node.filter(|n| n.accepts_work()) else { return Some(Status::NotSent) };
-    if queued.query.send_until.get() <= now || required.is_some_and(|id| id != address) {
+    let is_allowed = queued.query.send_until.get() > now && queued.may_be_written(now);
+    if !is_allowed || required.is_some_and(|id| id != address) {
         return Some(Status::NotSent);
     }
     let is_listed = node.addresses.address(address).is_some();
@@ -132,6 +134,11 @@
                 return;
             }
             let Some(c) = self.connections.get_mut(key) else { return };
+            if c.pipeline.peek_batch().is_some_and(|queued| !queued.may_be_written(now)) {
+                // Its first bytes are written, so the connection can carry nothing else.
+                self.close(key);
+                return;
+            }
             match c.write_batch() {
                 Ok(bytes) => self.record_written(key, bytes, now),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
@@ -154,13 +161,16 @@
         if let Some(node) = self.nodes.get_mut(&c.server) {
             node.stats.writes += 1;
         }
-        let destination = WrittenAttempt { server: c.server, address: c.link.address };
-        let attempts_written = &mut self.attempts_written;
-        c.pipeline.record_written(bytes, now, |attempt| {
+        let (server, address) = (c.server, c.link.address);
+        let (attempts_written, events) = (&mut self.attempts_written, &mut self.events);
+        c.pipeline.record_written(bytes, now, |queued| {
             *attempts_written += 1;
-            if attempt.query.write {
-                attempt.query.written.borrow_mut().record(destination);
+            if !queued.query.has_effect() {
+                return;
             }
+            let written = WrittenAttempt { attempt: queued.attempt, server, address, written_at: now };
+            queued.query.written.borrow_mut().record(written);
+            events.push_back(NodeEvent::Written(queued.id));
         });
         if !c.pipeline.has_batch() {
             c.long_value = None;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -436,6 +436,7 @@
                 TimerEvent::Balancer(token) => self.pending_events.push_back(Event::Timer(token)),
                 TimerEvent::RequestDeadline(id) => self.request_deadline(id),
                 TimerEvent::HalfCloseGrace(id) => self.end_unwritten_attempts(id),
+                TimerEvent::RepeatLimit(id) => self.end_late_repeats(id),
                 TimerEvent::AttemptTimeout(id, attempt) => self.end_attempt(id, attempt, Status::Timeout),
                 TimerEvent::ConnectTimeout(key, serial) => self.boxes.connect_timeout(key, serial, now),
                 TimerEvent::ConnectionAttemptDelay(key, serial) => self.boxes.start_race(key, serial, now),
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -145,6 +145,36 @@
         self.requests.set_connection(id, attempt, connection);
     }
 
+    /// Sets the timer after which repeats of an attempt that was just written would not be recognised as such.
+    fn limit_repeats(&mut self, id: RequestId) {
+        let limit = self.requests.query(id).and_then(|query| query.written.borrow().repeat_limit());
+        if let Some(limit) = limit {
+            self.event_loop.timers.set(limit, TimerEvent::RepeatLimit(id));
+        }
+    }
+
+    /// Ends the attempts of a request that would no longer be recognised as repeats of another one: those that are not
+    /// written completely, and long ones that are not answered, as their last bytes may still be in the socket's buffer.
+    pub(crate) fn end_late_repeats(&mut self, id: RequestId) {
+        let Some(query) = self.requests.query(id).cloned() else { return };
+        for number in self.requests.open_attempts(id) {
+            if query.written.borrow().allows(number, self.event_loop.now) {
+                continue;
+            }
+            if !self.is_written(id, number) {
+                self.end_attempt(id, number, Status::NotSent);
+            } else if query.is_long() {
+                self.end_attempt(id, number, Status::Cancelled);
+            }
+        }
+    }
+
+    /// Whether the last byte of an open attempt is written.
+    fn is_written(&self, id: RequestId, attempt: u32) -> bool {
+        let connection = self.requests.attempt(id, attempt).and_then(|a| a.connection);
+        connection.is_some_and(|key| self.boxes.is_written(key, id, attempt))
+    }
+
     /// Ends an attempt that the proxy cancels, that timed out, or that is not sent.
     pub(crate) fn end_attempt(&mut self, id: RequestId, attempt: u32, mut status: Status) {
         let Some(a) = self.requests.attempt(id, attempt) else { return };
@@ -169,6 +199,7 @@
 
     pub(crate) fn handle_attempt_event(&mut self, event: boxes::NodeEvent) {
         match event {
+            boxes::NodeEvent::Written(id) => self.limit_repeats(id),
             boxes::NodeEvent::Ended(id, attempt, status, reply) => {
                 self.attempt_ended(id, attempt, status, &reply)
             }
@@ -206,6 +237,9 @@
     /// Reports an attempt's outcome to the balancer.
     fn attempt_ended(&mut self, id: RequestId, attempt: u32, status: Status, reply: &resp::Reply) {
         let Some(a) = self.requests.end_attempt(id, attempt) else { return };
+        if let Some(query) = self.requests.query(id).filter(|_| status.never_ran()) {
+            query.written.borrow_mut().remove(attempt);
+        }
         self.pending_events.push_back(Event::Outcome(Outcome {
             id,
             attempt,
@@ -268,8 +302,7 @@
     /// Ends the attempts that are not written completely, at the end of [`HALF_CLOSE_GRACE`].
     pub(crate) fn end_unwritten_attempts(&mut self, id: RequestId) {
         for number in self.requests.open_attempts(id) {
-            let connection = self.requests.attempt(id, number).and_then(|a| a.connection);
-            if !connection.is_some_and(|key| self.boxes.is_written(key, id, number)) {
+            if !self.is_written(id, number) {
                 self.end_attempt(id, number, Status::NotSent);
             }
         }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -22,6 +22,8 @@
 pub const HALF_CLOSE_GRACE: Nanos = 50 * MS;
 /// The index of the argument with the fields, which state the time-out.
 pub const FIELDS_INDEX: usize = 3;
+/// The longest written value that is copied behind its command. A longer one is sent from its own buffer.
+const MAX_COPIED_VALUE_BYTES: usize = 16 << 10;
 /// The longest key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 /// The longest request id, in bytes.
@@ -47,7 +49,7 @@
     pub expected_work: Option<Nanos>,
     /// The client marked it as a retry.
     pub is_retry: bool,
-    /// For a write: its attempts that may have reached a node.
+    /// Its attempts that a node may have carried out.
     pub written: RefCell<WriteHistory>,
     /// No attempt is written from this time on. It is set when the client shuts down its sending side.
     pub send_until: Cell<Nanos>,
@@ -138,22 +140,26 @@
         let name = std::str::from_utf8(command.arg(1)).unwrap_or_default();
         let hex = if name.len() <= 16 { u64::from_str_radix(name, 16).ok() } else { None };
         let key = hex.unwrap_or_else(|| server_id(&String::from_utf8_lossy(command.arg(1))));
-        let class = class as u32;
         Ok(Query {
             timeout_range,
-            class,
+            class: class as u32,
             tenant,
             key,
             write,
             timeout,
             expected_work,
             is_retry,
-            written: RefCell::default(),
+            written: RefCell::new(WriteHistory::new(config.settings.classes.get(class))),
             send_until: Cell::new(Nanos::MAX),
             command,
         })
     }
 
+    /// Whether it may change something at a cache node: it is a write, or its class limits repeats.
+    pub fn has_effect(&self) -> bool {
+        self.write || self.written.borrow().limits_repeats()
+    }
+
     /// Encodes the command for a cache node, without a write's value, with the time that the proxy will wait.
     pub fn encode(&self, timeout_ms: u64, out: &mut Vec<u8>) {
         self.encode_with_id(self.id(), timeout_ms, out);
@@ -186,6 +192,11 @@
         self.command.arg(2)
     }
 
+    /// Whether its value is long enough for a part of it to wait in buffers of the sockets.
+    pub fn is_long(&self) -> bool {
+        self.value().len() > MAX_COPIED_VALUE_BYTES
+    }
+
     /// A write's value.
     pub fn value(&self) -> &[u8] {
         self.command.arg(4)
@@ -370,6 +381,11 @@
         Some(attempts.swap_remove(index))
     }
 
+    /// The command of an open request.
+    pub fn query(&self, id: RequestId) -> Option<&Rc<Query>> {
+        self.open.get(&id).map(|o| &o.query)
+    }
+
     /// The command of a request that is not answered yet.
     pub fn unanswered_query(&self, id: RequestId) -> Option<&Rc<Query>> {
         self.open.get(&id).filter(|o| !o.answered).map(|o| &o.query)
--- a/crates/proxy/src/timers.rs
+++ b/crates/proxy/src/timers.rs
@@ -13,6 +13,8 @@
     RequestDeadline(RequestId),
     /// The client of a request shut down its sending side [`crate::request::HALF_CLOSE_GRACE`] ago.
     HalfCloseGrace(RequestId),
+    /// A written attempt of this request may have been carried out so long ago that nodes no longer recognise its repeats.
+    RepeatLimit(RequestId),
     /// An attempt's own time-out, shorter than the request's deadline.
     AttemptTimeout(RequestId, u32),
     /// A connection to a cache node, by its key and serial number, must be established by now.
--- a/crates/proxy/src/write_history.rs
+++ b/crates/proxy/src/write_history.rs
@@ -1,29 +1,71 @@
-//! The attempts of a write that may have reached a cache node. No sockets here.
+//! The attempts of a request that may have been carried out by a cache node, and what they forbid to its other attempts.
+//! No sockets here.
 
 use addresses::AddressId;
-use calicosaddle::api::ServerId;
+use calicosaddle::api::{Class, Nanos, ServerId};
 
 /// An attempt whose last byte was written.
 #[derive(Clone, Copy, Debug)]
 pub struct WrittenAttempt {
+    /// Its number within the request.
+    pub attempt: u32,
     /// The node that it was written to.
     pub server: ServerId,
     /// The address that it was written over.
     pub address: AddressId,
+    /// When its last byte was written.
+    pub written_at: Nanos,
 }
 
-/// The attempts of a write whose last byte was written, so that a node may have carried them out.
+/// The attempts of a request whose last byte was written, except those that are known not to have run.
 #[derive(Debug, Default)]
-pub struct WriteHistory(Vec<WrittenAttempt>);
+pub struct WriteHistory {
+    /// How long after an attempt another one may be written; `None` if at any time.
+    repeat_window: Option<Nanos>,
+    written: Vec<WrittenAttempt>,
+}
 
 impl WriteHistory {
+    /// The history of a request of this class without an attempt.
+    pub fn new(class: Option<&Class>) -> Self {
+        WriteHistory { repeat_window: class.and_then(Class::repeat_window), written: Vec::new() }
+    }
+
+    /// Whether an attempt that may have been carried out limits when others may be written.
+    pub fn limits_repeats(&self) -> bool {
+        self.repeat_window.is_some()
+    }
+
     /// Records an attempt whose last byte was written.
     pub fn record(&mut self, attempt: WrittenAttempt) {
-        self.0.push(attempt);
+        self.written.push(attempt);
+    }
+
+    /// Removes an attempt that is known not to have run.
+    pub fn remove(&mut self, attempt: u32) {
+        self.written.retain(|written| written.attempt != attempt);
     }
 
-    /// The address over which the write may have reached this node, whether or not the address is still listed.
+    /// The address over which the request may have reached this node, whether or not the address is still listed.
     pub fn address_at(&self, server: ServerId) -> Option<AddressId> {
-        self.0.iter().find(|attempt| attempt.server == server).map(|attempt| attempt.address)
+        self.written.iter().find(|written| written.server == server).map(|written| written.address)
+    }
+
+    /// From when on no attempt but the one written last may be written any more; `None` if there is no such time.
+    pub fn repeat_limit(&self) -> Option<Nanos> {
+        Some(self.written.last()?.written_at + self.repeat_window?)
+    }
+
+    /// From when on the last byte of this attempt may no longer be written, because another attempt may have been carried
+    /// out; `None` if that is not so.
+    pub fn send_limit(&self, attempt: u32) -> Option<Nanos> {
+        let window = self.repeat_window?;
+        let others = self.written.iter().filter(|written| written.attempt != attempt);
+        others.map(|written| written.written_at + window).min()
+    }
+
+    /// Whether the last byte of this attempt may be written.
+    pub fn allows(&self, attempt: u32, now: Nanos) -> bool {
+        self.send_limit(attempt).is_none_or(|limit| now < limit)
     }
 }
