A late copy of a reply is awaited where it could not be recognised

Cause: the settle delay of 5 ms does not cover what jitter adds, and the rule by content that should find such a copy speaks only from 16 compared replies, and never behind writes whose receipts are equal. Before it speaks nothing stood in for it.

Change: where a copy of the last reply would not be recognised as the reply to the next command, the connection waits for the settle delay and half of the node's fastest response, 50 ms at the most. A link's jitter of up to a third draws two messages apart by less than that. Comparisons are kept apart for each sequence of reads and writes.

--- a/crates/pipeline/tests/foreign_reply.rs
+++ b/crates/pipeline/tests/foreign_reply.rs
@@ -1,6 +1,6 @@
 //! Replies that were not made for their commands, by the time they come and by their content.
 
-use pipeline::{BoxLatencies, ForeignReplyDetector, LatencyContext, ReplyArrival, ValueVariety};
+use pipeline::{BoxLatencies, ForeignReplyDetector, LatencyContext, ReplyArrival, SettleDelay, ValueVariety};
 
 const MS: u64 = 1_000_000;
 /// Responses from which the round trip to a box is known.
@@ -95,3 +95,68 @@
     assert!(detector.is_foreign(&arrival(2, 8), &variety, context));
     assert!(!detector.is_foreign(&arrival(3, 8), &variety, context));
 }
+
+/// How long a connection waits before a read or a write after a served reply.
+fn settle_delay_after(
+    previous: ReplyArrival,
+    write: bool,
+    variety: &ValueVariety,
+    [this_box, all_boxes]: [&BoxLatencies; 2],
+    settle_delay: SettleDelay,
+) -> u64 {
+    let mut detector = ForeignReplyDetector::default();
+    detector.record(&previous, &mut variety.clone());
+    detector.settle_delay(write, variety, LatencyContext { this_box, all_boxes }, settle_delay)
+}
+
+// Guards against copies that are neither awaited nor recognised: the rule by content speaks only from enough replies.
+#[test]
+fn a_connection_waits_for_copies_that_would_not_be_recognised() {
+    let (known, unknown) = (answers_after(40 * MS, 1), BoxLatencies::NONE);
+    let differ = values_that_differ();
+    let read = arrival(40, 7);
+    let receipt = ReplyArrival { write: true, ..read };
+    let refusal = ReplyArrival { served: false, ..read };
+    let initial = SettleDelay::new(None);
+    let wait = |previous, write, variety: &ValueVariety, boxes| {
+        settle_delay_after(previous, write, variety, boxes, initial)
+    };
+    let short = SettleDelay::INITIAL;
+    let long = SettleDelay::INITIAL + 19 * MS;
+    let only_known = [&known, &unknown];
+    assert_eq!(wait(read, false, &differ, only_known), short);
+    // Too few replies were compared, or only those of other sequences.
+    assert_eq!(wait(read, false, &ValueVariety::default(), only_known), long);
+    for (previous, write) in [(read, true), (receipt, false), (receipt, true)] {
+        assert_eq!(wait(previous, write, &differ, only_known), long);
+    }
+    assert_eq!(wait(refusal, false, &differ, only_known), long);
+    // Nothing is known of the box, or of any.
+    assert_eq!(wait(read, false, &differ, [&unknown, &known]), long);
+    assert_eq!(wait(read, false, &differ, [&unknown, &unknown]), SettleDelay::MAX);
+    // A slow box, a box next to the proxy, and no settle delay.
+    let slow = answers_after(400 * MS, 1);
+    assert_eq!(wait(receipt, false, &differ, [&slow, &unknown]), SettleDelay::MAX);
+    let near = answers_after(MS, 1);
+    assert_eq!(wait(receipt, false, &differ, [&near, &unknown]), short);
+    assert_eq!(settle_delay_after(receipt, false, &differ, only_known, SettleDelay::NONE), 0);
+}
+
+// Guards against values behind receipts that are never known to differ because the receipts are equal.
+#[test]
+fn equal_receipts_keep_only_copies_behind_a_write_from_being_recognised_as_receipts() {
+    let this_box = answers_after(40 * MS, 1);
+    let mut variety = ValueVariety::default();
+    let mut connection = ForeignReplyDetector::default();
+    for value in 0..40 {
+        let receipt = ReplyArrival { write: true, ..arrival(40, 1) };
+        [receipt, receipt, arrival(40, 100 + value)].iter().for_each(|a| connection.record(a, &mut variety));
+    }
+    let receipt = ReplyArrival { write: true, ..arrival(40, 1) };
+    connection.record(&receipt, &mut variety);
+    let context = LatencyContext { this_box: &this_box, all_boxes: &this_box };
+    assert!(connection.is_foreign(&arrival(19, 1), &variety, context));
+    assert!(!connection.is_foreign(&ReplyArrival { write: true, ..arrival(19, 1) }, &variety, context));
+    let settle_delay = |write| connection.settle_delay(write, &variety, context, SettleDelay::new(None));
+    assert_eq!([false, true].map(settle_delay), [SettleDelay::INITIAL, SettleDelay::INITIAL + 19 * MS]);
+}
--- a/crates/proxy/src/boxes/connection.rs
+++ b/crates/proxy/src/boxes/connection.rs
@@ -4,7 +4,7 @@
 use crate::request::Query;
 use addresses::{AddressId, ConnectionRace};
 use calicosaddle::api::{Nanos, RequestId, ServerId};
-use pipeline::{CommandKind, ForeignReplyDetector, Pipeline, ReplyArrival, SettleDelay};
+use pipeline::{Command, CommandKind, ForeignReplyDetector, Pipeline, ReplyArrival, SettleDelay};
 use resp::{HelloReplyParser, Protocol, ReplyReader};
 use std::rc::Rc;
 
@@ -42,7 +42,7 @@
     }
 }
 
-impl pipeline::Command for QueuedAttempt {
+impl Command for QueuedAttempt {
     type Tag = (RequestId, u32);
 
     fn tag(&self) -> Self::Tag {
@@ -97,8 +97,9 @@
     pub foreign_replies: ForeignReplyDetector,
     /// When the last reply came.
     pub last_reply: Nanos,
-    /// The end of the settle delay after that reply: when the next command may be written.
-    pub ready_at: Nanos,
+    /// The end of the settle delay after that reply: when the next command may be written, if it is a read and if it is a
+    /// write.
+    pub ready_at: [Nanos; 2],
     /// How long it had been idle before the last written attempt; 0 if it had not.
     pub idle_before_write: Nanos,
     /// The reply at its head is a long value, which is passed to the client as it comes.
@@ -125,6 +126,22 @@
         self.reader.protocol() == Protocol::Three
     }
 
+    /// When a command of this kind may be written.
+    pub fn writable_at(&self, kind: CommandKind) -> Nanos {
+        self.ready_at[usize::from(kind.write)]
+    }
+
+    /// The end of the settle delay for the next queued command, if there is one and it is not over.
+    pub fn settling_until(&self, now: Nanos) -> Option<Nanos> {
+        let next = self.pipeline.peek_queued()?;
+        Some(self.writable_at(next.kind())).filter(|at| *at > now)
+    }
+
+    /// Whether commands may be written: the settle delay is over, or the rest of a batch is to be written.
+    pub fn may_write(&self, now: Nanos) -> bool {
+        self.settling_until(now).is_none() || self.pipeline.has_batch()
+    }
+
     /// The reply that is being read, with the hash of its content.
     pub fn reply_arrival(&self, fingerprint: u64, served: bool) -> ReplyArrival {
         let age = self.pipeline.head_age(self.reply_began).filter(|_| !self.pipeline.is_head_pipelined());
--- a/crates/proxy/src/boxes/dial.rs
+++ b/crates/proxy/src/boxes/dial.rs
@@ -83,7 +83,7 @@
             reply_began: 0,
             foreign_replies: ForeignReplyDetector::default(),
             last_reply: 0,
-            ready_at: 0,
+            ready_at: [0; 2],
             idle_before_write: 0,
             streaming: false,
             paused: false,
--- a/crates/proxy/src/boxes/placement.rs
+++ b/crates/proxy/src/boxes/placement.rs
@@ -38,8 +38,8 @@
         let connection = &mut self.connections[key];
         connection.pipeline.push(queued);
         if connection.connected && !std::mem::replace(&mut connection.write_queued, true) {
-            if connection.ready_at > now {
-                self.settling.insert((connection.ready_at, key));
+            if let Some(settled_at) = connection.settling_until(now) {
+                self.settling.insert((settled_at, key));
                 return;
             }
             if self.write_queue.is_empty() {
@@ -98,7 +98,7 @@
                 key: *key,
                 connected: c.connected,
                 active_since: if c.connected { c.last_active } else { c.link.started_at },
-                writable_at: c.ready_at,
+                writable_at: c.writable_at(kind),
                 depth: c.depth(),
                 head_age: c.pipeline.head_age(now),
                 latency: c.pipeline.latency(),
--- a/crates/proxy/src/boxes/read.rs
+++ b/crates/proxy/src/boxes/read.rs
@@ -206,8 +206,9 @@
         let Some(answered) = c.pipeline.complete_head(now) else { return false };
         let streamed = std::mem::take(&mut c.streaming);
         c.last_reply = now;
-        c.ready_at = if c.depth() == 0 { now + self.pipeline_config.settle_delay.duration() } else { now };
         let (server, is_first) = (c.server, !std::mem::replace(&mut c.has_replied, true));
+        self.set_ready_at(key, now);
+        let Some(c) = self.connections.get_mut(key) else { return true };
         if let Some(node) = self.nodes.get_mut(&c.server) {
             node.addresses.answer_received(c.link.address, answered.latency, now);
             for latencies in [node.latencies_mut(), &mut self.latencies] {
@@ -242,6 +243,18 @@
         true
     }
 
+    /// Sets when a connection may carry its next command after a reply. Behind the other commands on it there is no delay.
+    fn set_ready_at(&mut self, key: usize, now: Nanos) {
+        let Some(c) = self.connections.get_mut(key) else { return };
+        c.ready_at = [now; 2];
+        let Some(node) = self.nodes.get(&c.server).filter(|_| c.depth() == 0) else { return };
+        let latencies = LatencyContext { this_box: node.latencies(), all_boxes: &self.latencies };
+        c.ready_at = [false, true].map(|write| {
+            let settle_delay = self.pipeline_config.settle_delay;
+            now + c.foreign_replies.settle_delay(write, &self.value_variety, latencies, settle_delay)
+        });
+    }
+
     /// Checks a reply, or a long value at its beginning, before it is passed on. Closes the connection and returns false
     /// if it was not made for the command at the head: everything behind it would be shifted. The command may have run.
     fn accept_reply(&mut self, key: usize, arrival: &ReplyArrival, now: Nanos) -> bool {
--- a/crates/proxy/src/boxes/write.rs
+++ b/crates/proxy/src/boxes/write.rs
@@ -87,7 +87,9 @@
     }
 
     fn check_and_flush(&mut self, key: usize, now: Nanos) {
-        let Some(c) = self.connections.get_mut(key).filter(|c| c.ready_at <= now) else { return };
+        let Some(c) = self.connections.get_mut(key).filter(|c| c.settling_until(now).is_none()) else {
+            return;
+        };
         if !std::mem::take(&mut c.write_queued) {
             // The key has been reused for another connection, or the batch has already been written.
             return;
@@ -97,8 +99,7 @@
 
     /// Writes to a connection, unless it is idle and has unread input. Then its attempts go elsewhere.
     pub(super) fn flush_if_quiet(&mut self, key: usize, now: Nanos) {
-        let Some(c) = self.connections.get_mut(key).filter(|c| c.ready_at <= now || c.pipeline.has_batch())
-        else {
+        let Some(c) = self.connections.get_mut(key).filter(|c| c.may_write(now)) else {
             return;
         };
         if c.pipeline.in_flight() > 0
@@ -127,9 +128,7 @@
 
     /// Writes until nothing is left or the socket takes no more. The caller has made sure that no input is unread.
     pub(super) fn flush(&mut self, key: usize, now: Nanos) {
-        while let Some(c) =
-            self.connections.get_mut(key).filter(|c| c.ready_at <= now || c.pipeline.has_batch())
-        {
+        while let Some(c) = self.connections.get_mut(key).filter(|c| c.may_write(now)) {
             if !c.pipeline.has_batch() && !self.fill_batch(key, now) {
                 return;
             }
--- a/crates/proxy/tests/pipeline.rs
+++ b/crates/proxy/tests/pipeline.rs
@@ -546,6 +546,53 @@
     assert!(at_node.rest().is_empty());
 }
 
+/// Sends the first command and, once it is answered, the second one to a proxy that has just started. Between the two a
+/// second copy of the first reply comes, later than the settle delay that is configured. Fails if it is served.
+fn assert_copy_is_not_served_after_a_start(first_is_write: bool, second_is_write: bool) {
+    const RESPONSE_TIME: Duration = Duration::from_millis(200);
+    const LATENESS: Duration = Duration::from_millis(10);
+    /// If this thread wakes up later than this, the copy is not sent: it would exceed the lateness that is covered.
+    const MAX_LATENESS: Duration = Duration::from_millis(30);
+    let node = Server::start();
+    let proxy = Proxy::with(&node, |c| {
+        one_connection_per_node(c);
+        c["settings"]["caps"]["second_copies"] = json!(false);
+    });
+    let mut client = proxy.client();
+    let send = |client: &mut Peer, key: u64, write: bool| match write {
+        true => client.set(key, "put", 15_000, "v"),
+        false => client.get(key, "read", 15_000),
+    };
+    send(&mut client, 1, first_is_write);
+    let (mut at_node, _) = node.command();
+    std::thread::sleep(RESPONSE_TIME);
+    at_node.send(RECEIPT);
+    let answered = Instant::now();
+    assert_eq!(client.command()[0], "ok");
+    send(&mut client, 2, second_is_write);
+    std::thread::sleep(LATENESS.saturating_sub(answered.elapsed()));
+    let is_copied = answered.elapsed() < MAX_LATENESS;
+    if is_copied {
+        at_node.offers(RECEIPT);
+    }
+    let mut peers = vec![at_node];
+    let (at, command) = node.any(&mut peers);
+    assert_eq!(command[1], "0000000000000002");
+    std::thread::sleep(RESPONSE_TIME);
+    peers[at].send(hit("the second"));
+    assert_eq!(client.command()[0], "the second", "write: {first_is_write}, then write: {second_is_write}");
+}
+
+// Guards against a copy that is served to the next request soon after a start, when too little is known to recognise it.
+#[test]
+fn a_second_reply_later_than_the_settle_delay_is_not_served_by_a_proxy_that_has_just_started() {
+    for first_is_write in [false, true] {
+        for second_is_write in [false, true] {
+            assert_copy_is_not_served_after_a_start(first_is_write, second_is_write);
+        }
+    }
+}
+
 // Guards against a second reply with a long value, which would be passed on before it is complete.
 #[test]
 fn a_second_copy_of_a_long_value_is_not_served_to_the_next_request() {
