No connection is ended to save memory: answers are reserved, refused or made to wait

Cause: the sum of unread answers was looked at after it was passed, and could only end a connection of over 256 KiB. What waits for an earlier answer counted like what a client does not take; clients below 256 KiB were not limited by the sum; written and spare parts of buffers were not counted; each long value had 64 KiB and as much again, however little was left.

Change: one budget for answers. The usual size of the class's answers is reserved when a command arrives, and a request without room is refused unsent; an answer that does not fit is replaced by a refusal or failure, as its class allows. Output is kept in chunks that are freed as they are written. Where little is left, clients are read less far ahead and long values go on in smaller steps. Between values clients are read 4 KiB at a time, and heads may have 4 KiB.

--- a/crates/calicosaddle/src/balancer/attempts.rs
+++ b/crates/calicosaddle/src/balancer/attempts.rs
@@ -140,13 +140,8 @@
         let Some(open) = self.open_requests.remove(&id) else { return };
         self.record_request_end(&open, 0.0);
         let class = self.settings.classes.get(open.class);
-        let ran = open.attempts.iter().any(|a| a.pending || a.may_have_run);
-        let harmless = match class.map_or(RetrySafety::Unsafe, |c| c.retry_safety) {
-            RetrySafety::Safe => true,
-            RetrySafety::Keyed => !ran || class.is_some_and(|c| c.dedup_scope == DedupScope::All),
-            RetrySafety::Unsafe => !ran,
-        };
-        if harmless {
+        let may_have_run = open.attempts.iter().any(|a| a.pending || a.may_have_run);
+        if class.map_or(!may_have_run, |class| class.may_be_refused(may_have_run)) {
             // While not all requests are admitted, or servers reject attempts, clients are advised to wait: the
             // more is rejected, the longer. Clients that retry at once fill the queues again and cause the next
             // rejections. The cost: after a short overload they wait longer than needed.
--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -1,20 +1,26 @@
 //! Client connections: the listener, the parsing of commands, and the answers, in the order of the commands.
 
+mod answers;
+mod memory;
+mod output;
 mod timeouts;
 mod values;
 mod waiting;
 
 use crate::platform::config::Config;
-use crate::request::{Answer, Query, ReplySlot};
+use crate::request::{Query, ReplySlot};
+pub use answers::GivenAnswer;
 use calicosaddle::api::{Nanos, RequestId};
+use memory::AnswerMemory;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
-use resp::{Command, CommandParser, MemoryBudget, Protocol, MAX_BUFFERED_VALUE_BYTES};
+use output::OutputQueue;
+use resp::{Command, CommandParser, MemoryBudget, Protocol};
 use session::{CommandOutcome, Session, Users};
 use slab::Slab;
 use std::borrow::Cow;
 use std::collections::VecDeque;
-use std::io::{self, Read, Write};
+use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use waiting::MemoryWait;
@@ -22,13 +28,12 @@
 const MS: Nanos = 1_000_000;
 /// The reply to a refused command. Nothing has been done for the command, so a retry is safe.
 const BUSY_REPLY: &[u8] = b"-BUSY\r\n";
-/// The maximum number of unanswered commands and queued answers of a client, per command that it may have open. A client
-/// with more does not read its answers, and is disconnected.
+/// The maximum number of unanswered commands and queued answers of a client, per command that it may have open. The
+/// commands of a client with more are not read.
 const SLOTS_PER_OPEN_COMMAND: usize = 8;
-/// With more unread bytes of answers than this, a client's further commands are not read.
-const MAX_UNREAD_BYTES: usize = 4 * MAX_BUFFERED_VALUE_BYTES;
-/// The capacity of the output buffer that an idle connection keeps.
-const IDLE_BUFFER_BYTES: usize = 4 << 10;
+/// How much is read at once between the values of commands, so that a client with many short commands neither takes time
+/// from others nor gets many answers beyond its limits.
+const COMMANDS_READ_BYTES: usize = 4 << 10;
 /// The maximum number of bytes read and dropped after the last answer.
 const MAX_LINGER_BYTES: usize = 256 << 10;
 /// The maximum number of consecutive reads of one connection before others are served.
@@ -62,11 +67,24 @@
     Disconnected(RequestId),
 }
 
+/// A request that is not answered yet.
+#[derive(Debug)]
+struct WaitingSlot {
+    id: RequestId,
+    /// The protocol in force when the command arrived.
+    protocol: Protocol,
+    class: u32,
+    /// The memory that is reserved for the answer, in bytes.
+    reserved: usize,
+    /// It may be refused although a cache node has served it: a retry is harmless.
+    may_be_refused: bool,
+}
+
 /// The state of a command's answer. Slots are kept in the order of the commands.
 #[derive(Debug)]
 enum Slot {
-    /// Not answered yet; the protocol is the one in force when the command arrived.
-    Waiting(RequestId, Protocol),
+    /// Not answered yet.
+    Waiting(WaitingSlot),
     /// Answered; the bytes wait for the answers before them.
     Ready(Vec<u8>),
     /// A long value is being streamed as the answer.
@@ -89,10 +107,14 @@
     slots: VecDeque<Slot>,
     /// The number of the first slot.
     first_slot: u64,
-    output: Vec<u8>,
-    written: usize,
+    /// The answers that are next in order.
+    output: OutputQueue,
     /// Bytes of answers that wait for those before them.
     queued_bytes: usize,
+    /// Memory that is reserved for answers to come.
+    reserved_bytes: usize,
+    /// What is counted for it in [`Clients::answer_memory`].
+    accounted_bytes: usize,
     /// It is listed in [`Clients::dirty`].
     dirty: bool,
     /// Since when a command has been incomplete.
@@ -114,7 +136,7 @@
     lingering_since: Option<Nanos>,
     /// The number of bytes read and dropped since the connection began to close.
     dropped_bytes: usize,
-    /// Reading is suspended because too many bytes of answers are unread.
+    /// Reading is suspended because too many answers are unread.
     read_suspended: bool,
     /// Input behind the part of a command whose value waits for memory.
     pending: Vec<u8>,
@@ -123,19 +145,9 @@
 }
 
 impl Client {
-    /// True if a long value is being streamed to it.
-    fn is_streaming(&self) -> bool {
-        matches!(self.slots.front(), Some(Slot::Streaming { .. }))
-    }
-
     /// The number of bytes of answers that have not been written to its socket.
     fn unread_bytes(&self) -> usize {
-        self.unwritten_bytes() + self.queued_bytes
-    }
-
-    /// The number of bytes that are next in order and have not been written to its socket.
-    fn unwritten_bytes(&self) -> usize {
-        self.output.len() - self.written
+        self.output.unwritten_bytes() + self.queued_bytes
     }
 
     /// True if no command and no answer is in progress.
@@ -168,9 +180,8 @@
     max_open_commands: usize,
     /// The memory for long values of commands.
     value_memory: MemoryBudget,
-    /// The number of unread bytes of answers of all clients.
-    unread_bytes: usize,
-    max_unread_bytes: usize,
+    /// The memory for answers.
+    answer_memory: AnswerMemory,
     /// The listener may have connections to accept.
     accepting: bool,
     /// Requests are still accepted, but each connection is closed after its answers.
@@ -186,8 +197,7 @@
 
 impl Clients {
     /// Creates a collection without clients, which accepts up to `max_clients` connections with up to
-    /// `max_open_commands` open commands each. Long values of commands may take `memory` bytes, and unread answers as
-    /// many. [`Clients::listen`] listens at `address`, or at the socket that the platform owns.
+    /// `max_open_commands` open commands each. Long values of commands may take `memory` bytes, and answers as many. [`Clients::listen`] listens at `address`, or at the socket that the platform owns.
     pub fn new(
         address: SocketAddr,
         inherited: Option<std::net::TcpListener>,
@@ -208,8 +218,7 @@
             max_clients,
             max_open_commands,
             value_memory: MemoryBudget::new(memory),
-            unread_bytes: 0,
-            max_unread_bytes: memory,
+            answer_memory: AnswerMemory::new(memory),
             accepting: false,
             stopping: false,
             dirty: Vec::new(),
@@ -318,9 +327,10 @@
                 session: Session::new(self.accepted_count, &self.users),
                 slots: VecDeque::new(),
                 first_slot: 0,
-                output: Vec::new(),
-                written: 0,
+                output: OutputQueue::default(),
                 queued_bytes: 0,
+                reserved_bytes: 0,
+                accounted_bytes: 0,
                 dirty: false,
                 partial_since: None,
                 active_at: now,
@@ -362,9 +372,10 @@
     /// Reads the input of a connection, up to [`MAX_READS`] times. `closed` tells that the end of the stream may follow.
     pub fn read(&mut self, key: usize, closed: bool, config: &Config, buffer: &mut [u8], now: Nanos) {
         for _ in 0..MAX_READS {
+            let may_be_read = self.may_be_read(key);
             let Some(client) = self.clients.get_mut(key).filter(|c| !c.eof) else { return };
             // A client that sends faster than it reads is slowed down by the socket buffers.
-            client.read_suspended = client.unread_bytes() > MAX_UNREAD_BYTES;
+            client.read_suspended = !may_be_read;
             // What a client sends after a protocol error is read up to a limit, so that it does not take time from others.
             if client.read_suspended
                 || client.parser.waits_for_memory()
@@ -372,7 +383,8 @@
             {
                 return;
             }
-            match client.stream.read(buffer) {
+            let limit = client.parser.read_limit(COMMANDS_READ_BYTES).min(buffer.len());
+            match client.stream.read(&mut buffer[..limit]) {
                 Ok(0) => {
                     client.eof = true;
                     self.half_closed(key);
@@ -386,7 +398,7 @@
                         client.dropped_bytes += n;
                     }
                     // A short read has emptied the socket, except for a possible end of the stream.
-                    if n < buffer.len() && !closed {
+                    if n < limit && !closed {
                         self.has_caught_up(key);
                         return;
                     }
@@ -413,8 +425,8 @@
             return;
         }
         for slot in &client.slots {
-            if let Slot::Waiting(id, _) = slot {
-                self.events.push_back(ClientEvent::HalfClosed(*id));
+            if let Slot::Waiting(waiting) = slot {
+                self.events.push_back(ClientEvent::HalfClosed(waiting.id));
             }
         }
     }
@@ -452,6 +464,14 @@
         }
     }
 
+    /// Whether a client's commands are read: it has room for more answers.
+    fn may_be_read(&self, key: usize) -> bool {
+        let max_slots = SLOTS_PER_OPEN_COMMAND * self.max_open_commands;
+        let unread_limit = self.answer_memory.unread_limit();
+        let has_room = |c: &Client| c.unread_bytes() <= unread_limit && c.slots.len() < max_slots;
+        self.clients.get(key).is_some_and(has_room)
+    }
+
     fn handle_command(&mut self, key: usize, command: Command, config: &Config) {
         let Some(client) = self.clients.get_mut(key) else { return };
         if let CommandOutcome::Answer(answer) = client.session.handle(&command, &self.users) {
@@ -470,150 +490,52 @@
         let query = Query::parse(command, config).map_err(Cow::from).and_then(|query| {
             client.session.check_tenant(query.tenant, &self.users).map_err(Cow::from).map(|()| query)
         });
-        match query {
-            // Nothing has been done for the command yet, so refusing it is safe.
-            Ok(query) if !may_be_sent => {
+        let query = match query {
+            Ok(query) => query,
+            Err(answer) => return self.answer_directly(key, answer.as_bytes()),
+        };
+        let reserved = self.clients.get(key).and_then(|client| self.reservation(client, query.class));
+        match reserved.filter(|_| may_be_sent) {
+            Some(reserved) => self.open_request(key, query, reserved, memory_wait, config),
+            None => {
+                // Nothing has been done for the command yet, so refusing it is safe.
                 self.events.push_back(ClientEvent::Rejected(query.class));
                 self.answer_directly(key, BUSY_REPLY);
             }
-            Ok(query) => {
-                let number = client.first_slot + client.slots.len() as u64;
-                let slot = ReplySlot { client: key, number };
-                let id = self.next_id;
-                self.next_id += 1;
-                client.slots.push_back(Slot::Waiting(id, client.session.protocol()));
-                (client.awaiting_first_command_since, client.request_count) =
-                    (None, (client.request_count + 1).min(2));
-                let delayed_since = memory_wait.map(|wait| wait.since);
-                self.events.push_back(ClientEvent::Query { id, slot, query: Rc::new(query), delayed_since });
-            }
-            Err(answer) => self.answer_directly(key, answer.as_bytes()),
-        }
-    }
-
-    /// Answers the last parsed command without making it a request. Disconnects a client that has pipelined too many
-    /// commands.
-    fn answer_directly(&mut self, key: usize, answer: &[u8]) {
-        let Some(client) = self.clients.get_mut(key) else { return };
-        if client.slots.len() >= SLOTS_PER_OPEN_COMMAND * self.max_open_commands {
-            self.remove(key);
-            return;
-        }
-        client.slots.push_back(Slot::Ready(answer.to_vec()));
-        client.queued_bytes += answer.len();
-        self.unread_bytes += answer.len();
-        self.advance(key);
-    }
-
-    /// Gives the complete answer to a request.
-    pub fn answer(&mut self, slot: ReplySlot, answer: &Answer<'_>) {
-        let Some(client) = self.clients.get_mut(slot.client) else { return };
-        let Some(position) = slot.number.checked_sub(client.first_slot).map(|n| n as usize) else { return };
-        let Some(Slot::Waiting(_, protocol)) = client.slots.get(position) else { return };
-        let before = client.output.len();
-        if position == 0 {
-            answer.write(*protocol, &mut client.output);
-            self.unread_bytes += client.output.len() - before;
-            client.slots.pop_front();
-            client.first_slot += 1;
-        } else {
-            let mut bytes = Vec::new();
-            answer.write(*protocol, &mut bytes);
-            client.queued_bytes += bytes.len();
-            self.unread_bytes += bytes.len();
-            client.slots[position] = Slot::Ready(bytes);
-        }
-        self.advance(slot.client);
-    }
-
-    /// Moves the answers that are next in order to the output.
-    fn advance(&mut self, key: usize) {
-        let Some(client) = self.clients.get_mut(key) else { return };
-        loop {
-            match client.slots.front_mut() {
-                Some(Slot::Ready(answer)) => {
-                    client.queued_bytes -= answer.len();
-                    client.output.append(answer);
-                    client.slots.pop_front();
-                    client.first_slot += 1;
-                }
-                Some(Slot::Streaming { queued, .. }) => {
-                    client.queued_bytes -= queued.len();
-                    client.output.append(queued);
-                    break;
-                }
-                Some(Slot::Waiting(..)) | None => break,
-            }
-        }
-        // Clients that send commands but do not read would otherwise fill the memory with answers.
-        if self.unread_bytes > self.max_unread_bytes
-            && client.unread_bytes() > MAX_UNREAD_BYTES
-            && !client.is_streaming()
-        {
-            self.remove(key);
-        } else if !client.dirty {
-            client.dirty = true;
-            self.dirty.push(key);
         }
     }
 
-    /// Writes the answers of all connections with output.
-    pub fn flush_all(&mut self, now: Nanos) {
-        while let Some(key) = self.dirty.pop() {
-            self.flush(key, now);
-        }
-    }
-
-    /// Writes as many answers as the socket of a connection accepts.
-    pub fn flush(&mut self, key: usize, now: Nanos) {
-        let share = self.unread_share();
+    /// Makes a command a request, with the memory that is reserved for its answer.
+    fn open_request(
+        &mut self,
+        key: usize,
+        query: Query,
+        reserved: usize,
+        memory_wait: Option<MemoryWait>,
+        config: &Config,
+    ) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        client.dirty = false;
-        while client.written < client.output.len() {
-            match client.stream.write(&client.output[client.written..]) {
-                Ok(n) => {
-                    client.written += n;
-                    self.unread_bytes = self.unread_bytes.saturating_sub(n);
-                    (client.active_at, client.blocked_since) = (now, None);
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    client.blocked_since.get_or_insert(now);
-                    break;
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
-                    self.remove(key);
-                    return;
-                }
-            }
-        }
-        if client.written == client.output.len() {
-            client.output.clear();
-            client.output.shrink_to(IDLE_BUFFER_BYTES);
-            client.written = 0;
-        } else if client.written > MAX_UNREAD_BYTES {
-            client.output.drain(..client.written);
-            client.written = 0;
-        }
-        // What waits behind the value at the front can't be written before it.
-        let may_resume = client.unwritten_bytes() <= share / 2;
-        if let Some(Slot::Streaming { id, paused: paused @ true, .. }) =
-            client.slots.front_mut().filter(|_| may_resume)
-        {
-            *paused = false;
-            self.events.push_back(ClientEvent::ReadyForMore(*id));
-        }
-        if client.read_suspended && client.unread_bytes() <= MAX_UNREAD_BYTES {
-            client.read_suspended = false;
-            self.pending_reads.push(key);
-        }
-        if client.slots.is_empty() && client.unread_bytes() == 0 {
-            if client.eof {
-                self.remove(key);
-            } else if client.closing || (self.stopping && !client.parser.in_progress()) {
-                self.linger(key, now);
-            }
-        }
+        let class = config.settings.classes.get(query.class as usize);
+        let id = self.next_id;
+        self.next_id += 1;
+        let number = client.first_slot + client.slots.len() as u64;
+        client.slots.push_back(Slot::Waiting(WaitingSlot {
+            id,
+            protocol: client.session.protocol(),
+            class: query.class,
+            reserved,
+            may_be_refused: class.is_some_and(|class| class.may_be_refused(true)),
+        }));
+        client.reserved_bytes += reserved;
+        client.awaiting_first_command_since = None;
+        client.request_count = (client.request_count + 1).min(2);
+        self.events.push_back(ClientEvent::Query {
+            id,
+            slot: ReplySlot { client: key, number },
+            query: Rc::new(query),
+            delayed_since: memory_wait.map(|wait| wait.since),
+        });
+        self.account(key);
     }
 
     /// Closes our sending side between requests, and waits up to [`LINGER_TIMEOUT`] for the client to close its own.
@@ -628,10 +550,10 @@
     /// Closes a connection; its open requests can no longer be answered.
     fn remove(&mut self, key: usize) {
         let Some(client) = self.clients.try_remove(key) else { return };
-        self.unread_bytes = self.unread_bytes.saturating_sub(client.unread_bytes());
+        self.release(&client);
         for slot in client.slots {
             match slot {
-                Slot::Waiting(id, _) | Slot::Streaming { id, .. } => {
+                Slot::Waiting(WaitingSlot { id, .. }) | Slot::Streaming { id, .. } => {
                     self.events.push_back(ClientEvent::Disconnected(id))
                 }
                 Slot::Ready(_) => {}
@@ -663,6 +585,8 @@
 mod tests {
     use super::*;
     use crate::platform::config::tests::sample;
+    use crate::request::Answer;
+    use std::io::Write;
     use std::time::{Duration, Instant};
 
     #[test]
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -58,7 +58,7 @@
 const ACCEPT_PAUSE: Nanos = 20 * MS;
 /// Descriptors for everything but connections: standard streams, poll, listener, signals, discovery, and some spare.
 const RESERVED_DESCRIPTORS: usize = 32;
-/// Long values in commands may take the configured memory divided by this, and unread answers as much.
+/// Long values in commands may take the configured memory divided by this, and answers as much.
 const MEMORY_DIVISOR: u64 = 4;
 /// The size of the read buffer.
 const READ_BUFFER_BYTES: usize = 64 << 10;
@@ -265,7 +265,8 @@
     /// shared, and with a single reading the waiting times would come out too short.
     fn read_nodes(&mut self, events: &Events) {
         for key in self.boxes.take_unread() {
-            self.boxes.ready(key, true, &mut self.buffer, self.event_loop.now);
+            let limit = self.clients.node_read_limit().min(READ_BUFFER_BYTES);
+            self.boxes.ready(key, true, &mut self.buffer[..limit], self.event_loop.now);
             self.process_pending();
         }
         for event in events {
@@ -276,7 +277,8 @@
             };
             self.event_loop.update_now();
             if !is_race || self.boxes.race_ready(key, self.event_loop.now) {
-                self.boxes.ready(key, is_closed(event), &mut self.buffer, self.event_loop.now);
+                let limit = self.clients.node_read_limit().min(READ_BUFFER_BYTES);
+                self.boxes.ready(key, is_closed(event), &mut self.buffer[..limit], self.event_loop.now);
             }
             self.process_pending();
         }
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -2,7 +2,7 @@
 //! has outcomes, is answered, and retired.
 
 use crate::boxes::{self, AbandonedAttempt, QueuedAttempt};
-use crate::front::clients;
+use crate::front::clients::{self, GivenAnswer};
 use crate::gates::Verdict;
 use crate::observers::{FinalResult, Notification};
 use crate::request::{Answer, Query, ReplySlot, HALF_CLOSE_GRACE};
@@ -266,8 +266,12 @@
     }
 
     fn write_answer(&mut self, slot: ReplySlot, class: u32, answer: Answer<'_>, result: FinalResult) {
+        let result = match self.clients.answer(slot, &answer) {
+            GivenAnswer::Unchanged => result,
+            GivenAnswer::Refused => FinalResult::Refused,
+            GivenAnswer::Failed => FinalResult::Failed,
+        };
         self.observers.notify(Notification::Answered(result, class));
-        self.clients.answer(slot, &answer);
     }
 
     // ---- requests that end early ----
--- a/crates/resp/src/command.rs
+++ b/crates/resp/src/command.rs
@@ -8,8 +8,12 @@
 const MAX_ARGS: usize = 16;
 /// The index of the value among the arguments of `CACHE.SET`. All other arguments are short.
 const VALUE_INDEX: usize = 4;
+/// The most bytes of all arguments before the value.
+const MAX_HEAD_BYTES: usize = 4 << 10;
 /// The longest argument other than the value. A longer value needs a reservation in the memory budget.
 const MAX_SHORT_ARG_BYTES: usize = 1 << 10;
+/// The line end behind each argument.
+const LINE_END_BYTES: usize = 2;
 /// The initial capacity for a command's arguments, enough for most commands.
 const INITIAL_CAPACITY_BYTES: usize = 128;
 
@@ -99,6 +103,18 @@
             && matches!(self.state, WaitForMemory { .. } | Body { .. } | Skip { .. } | Cr | Lf)
     }
 
+    /// How many bytes to read at once: what of a value there is likely to be memory for, and `least` otherwise.
+    pub fn read_limit(&self, least: usize) -> usize {
+        let wanted = match self.state {
+            CommandState::Body { remaining, room } if self.in_value() => {
+                remaining.min(room + self.budget.available()) + LINE_END_BYTES
+            }
+            CommandState::Skip { remaining } => remaining + LINE_END_BYTES,
+            _ => least,
+        };
+        wanted.max(least)
+    }
+
     /// The argument at `index` of the command that is being read, or an empty slice if it is not complete.
     pub fn partial_arg(&self, index: usize) -> &[u8] {
         self.command.arg(index)
@@ -200,6 +216,9 @@
                     let max = if is_value { MAX_STREAMED_VALUE_BYTES } else { MAX_SHORT_ARG_BYTES };
                     let length = usize::try_from(n).ok().filter(|n| *n <= max);
                     let length = length.ok_or(ProtocolError("invalid bulk length"))?;
+                    if !is_value && self.command.bytes.len() + length > MAX_HEAD_BYTES {
+                        return Err(ProtocolError("too many bytes before the value"));
+                    }
                     self.begin_argument(length);
                 }
             }
