The end of a client's stream counts at once, whatever is unread before it

Cause: the end of a stream is read like its bytes, and connections are not always read: not beyond 256 KiB after a protocol error, not while answers or memory are waited for. The event for the end was used in the last case only.

Evidence: the new test in crates/proxy/tests/departed_clients.rs failed on the code before: a second attempt 316 ms after the close.

Change: what follows a protocol error is read and dropped to its end, one buffer in an iteration. The event for a closed side counts at once: open requests get no attempt later than 50 ms after it, commands read later than that are refused unsent. A connection that has failed is removed at once.

--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -8,7 +8,7 @@
 mod waiting;
 
 use crate::platform::config::Config;
-use crate::request::{Query, ReplySlot};
+use crate::request::{Query, ReplySlot, HALF_CLOSE_GRACE};
 pub use answers::GivenAnswer;
 use calicosaddle::api::{Nanos, RequestId};
 use memory::AnswerMemory;
@@ -31,8 +31,6 @@
 /// The maximum number of unanswered commands and queued answers of a client, per command that it may have open. The
 /// commands of a client with more are not read.
 const SLOTS_PER_OPEN_COMMAND: usize = 8;
-/// The maximum number of bytes read and dropped after the last answer.
-const MAX_LINGER_BYTES: usize = 256 << 10;
 /// The maximum number of consecutive reads of a value before other connections are served. Commands, each of which takes
 /// time of its own, are read once.
 const MAX_READS: usize = 4;
@@ -56,9 +54,9 @@
     /// A command of this class was refused before it became a request: there was no memory for its value, its client
     /// left meanwhile, or too many commands were open.
     Rejected(u32),
-    /// The client closed its sending side while this request was open. It may still read the answer: attempts in flight
-    /// may complete, but no new one may be sent.
-    HalfClosed(RequestId),
+    /// The client closed its sending side at this time, while the request was open or before its command was read. It may
+    /// still read the answer: attempts in flight may complete, but no new one may be sent.
+    HalfClosed(RequestId, Nanos),
     /// The client can take more of the long value that is being streamed as the answer to this request.
     ReadyForMore(RequestId),
     /// The connection is closed, so this request can't be answered.
@@ -125,15 +123,15 @@
     awaiting_first_command_since: Option<Nanos>,
     /// The number of its requests, counted up to two.
     request_count: u8,
-    /// It has closed its sending side.
+    /// When it was found to have closed its sending side. Some of its input may still be unread.
+    ended_at: Option<Nanos>,
+    /// It has closed its sending side, and all its input has been read.
     eof: bool,
     /// It is disconnected once all its answers are written.
     closing: bool,
     /// When our sending side was closed after the last answer. Input is still read, because a connection closed with
     /// unread input is reset, and the reset may overtake the answers.
     lingering_since: Option<Nanos>,
-    /// The number of bytes read and dropped since the connection began to close.
-    dropped_bytes: usize,
     /// Reading is suspended because too many answers are unread.
     read_suspended: bool,
     /// Input behind the part of a command whose value waits for memory.
@@ -336,10 +334,10 @@
                 blocked_since: None,
                 awaiting_first_command_since: Some(now),
                 request_count: 0,
+                ended_at: None,
                 eof: false,
                 closing: false,
                 lingering_since: None,
-                dropped_bytes: 0,
                 read_suspended: false,
                 pending: Vec::new(),
                 memory_wait: None,
@@ -377,26 +375,23 @@
             let Some(client) = self.clients.get_mut(key).filter(|c| !c.eof) else { return };
             // A client that sends faster than it reads is slowed down by the socket buffers.
             client.read_suspended = !may_be_read;
-            // What a client sends after a protocol error is read up to a limit, so that it does not take time from others.
-            if client.read_suspended
-                || client.parser.waits_for_memory()
-                || client.dropped_bytes > MAX_LINGER_BYTES
-            {
+            if client.read_suspended || client.parser.waits_for_memory() {
                 return;
             }
-            let limit = client.parser.read_limit(least).min(buffer.len());
+            // What a client sends after a protocol error is read and dropped: the end of the stream may stand behind it.
+            let is_dropped = client.lingering_since.is_some() || client.closing;
+            let limit =
+                if is_dropped { buffer.len() } else { client.parser.read_limit(least).min(buffer.len()) };
             match client.stream.read(&mut buffer[..limit]) {
                 Ok(0) => {
                     client.eof = true;
-                    self.half_closed(key);
+                    self.end_of_input(key, now);
                     return;
                 }
                 Ok(n) => {
                     client.active_at = now;
-                    if client.lingering_since.is_none() && !client.closing {
+                    if !is_dropped {
                         self.parse_input(key, &buffer[..n], config, now);
-                    } else {
-                        client.dropped_bytes += n;
                     }
                     // A short read has emptied the socket, except for a possible end of the stream.
                     if n < limit && !closed {
@@ -421,20 +416,32 @@
         self.pending_reads.insert(key);
     }
 
-    /// Handles the end of a client's input.
-    fn half_closed(&mut self, key: usize) {
+    /// Handles the end of a client's input, all of which has been read.
+    fn end_of_input(&mut self, key: usize, now: Nanos) {
         let Some(client) = self.clients.get(key) else { return };
         if client.slots.is_empty() && client.unread_bytes() == 0 {
             self.remove(key);
             return;
         }
+        self.half_closed(key, now);
+    }
+
+    /// Handles that a client has closed its sending side, as soon as that is known: some of its input may be unread.
+    fn half_closed(&mut self, key: usize, now: Nanos) {
+        let Some(client) = self.clients.get_mut(key).filter(|c| c.ended_at.is_none()) else { return };
+        client.ended_at = Some(now);
         for slot in &client.slots {
             if let Slot::Waiting(waiting) = slot {
-                self.events.push_back(ClientEvent::HalfClosed(waiting.id));
+                self.events.push_back(ClientEvent::HalfClosed(waiting.id, now));
             }
         }
     }
 
+    /// Closes a connection that has failed, whether or not its input is read.
+    pub fn connection_failed(&mut self, key: usize) {
+        self.remove(key);
+    }
+
     /// Parses input and handles each complete command.
     fn parse_input(&mut self, key: usize, mut input: &[u8], config: &Config, now: Nanos) {
         while !input.is_empty() {
@@ -455,7 +462,7 @@
                         return;
                     }
                     if let Some(command) = command {
-                        self.handle_command(key, command, config);
+                        self.handle_command(key, command, config, now);
                     }
                 }
                 Err(e) => {
@@ -476,7 +483,7 @@
         self.clients.get(key).is_some_and(has_room)
     }
 
-    fn handle_command(&mut self, key: usize, command: Command, config: &Config) {
+    fn handle_command(&mut self, key: usize, command: Command, config: &Config, now: Nanos) {
         let Some(client) = self.clients.get_mut(key) else { return };
         if let CommandOutcome::Answer(answer) = client.session.handle(&command, &self.users) {
             if answer.accepted {
@@ -489,7 +496,8 @@
         }
         let memory_wait = client.memory_wait.take();
         // The client may have left long ago: the end of its stream could not be seen while the value waited.
-        let has_left = memory_wait.is_some() && client.is_at_end_of_input();
+        let has_left = (memory_wait.is_some() && client.is_at_end_of_input())
+            || client.ended_at.is_some_and(|at| at + HALF_CLOSE_GRACE <= now);
         let may_be_sent = command.is_complete() && !has_left && client.slots.len() < self.max_open_commands;
         let query = Query::parse(command, config).map_err(Cow::from).and_then(|query| {
             client.session.check_tenant(query.tenant, &self.users).map_err(Cow::from).map(|()| query)
@@ -539,6 +547,9 @@
             query: Rc::new(query),
             delayed_since: memory_wait.map(|wait| wait.since),
         });
+        if let Some(ended_at) = client.ended_at {
+            self.events.push_back(ClientEvent::HalfClosed(id, ended_at));
+        }
         self.account(key);
     }
 
--- a/crates/proxy/src/front/clients/waiting.rs
+++ b/crates/proxy/src/front/clients/waiting.rs
@@ -70,9 +70,10 @@
         self.waiting_for_memory = still_waiting;
     }
 
-    /// Gives up a command whose client shut down its sending side while the value waits for memory. What its client has
-    /// sent is still read.
+    /// Handles that a client has shut down its sending side, also where its input is not read at present. A command whose
+    /// value waits for memory is given up. What the client has sent is still read.
     pub fn input_ended(&mut self, key: usize, config: &Config, now: Nanos) {
+        self.half_closed(key, now);
         let Some(client) = self.clients.get_mut(key).filter(|c| c.parser.waits_for_memory()) else { return };
         client.parser.drop_value();
         self.resume(key, config, now);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -323,7 +323,9 @@
                 self.clients.flush(key, self.event_loop.now);
             }
             let now = self.event_loop.now;
-            if is_closed(event) {
+            if event.is_error() {
+                self.clients.connection_failed(key);
+            } else if event.is_read_closed() {
                 self.clients.input_ended(key, &self.config, now);
             }
             self.clients.read(key, is_closed(event), &self.config, &mut self.buffer, now);
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -23,7 +23,7 @@
                 self.observers.notify(Notification::Arrived);
                 self.observers.notify(Notification::Answered(FinalResult::Refused, class));
             }
-            clients::ClientEvent::HalfClosed(id) => self.client_half_closed(id),
+            clients::ClientEvent::HalfClosed(id, at) => self.client_half_closed(id, at),
             clients::ClientEvent::ReadyForMore(id) => self.resume_stream(id),
             clients::ClientEvent::Disconnected(id) => self.client_disconnected(id),
         }
@@ -290,8 +290,8 @@
     /// Handles a client that has shut down its sending side. It may still be waiting for the answer, or may have
     /// abandoned the request. Attempts that are written within [`HALF_CLOSE_GRACE`] are therefore left to finish, and no
     /// further one is sent.
-    fn client_half_closed(&mut self, id: RequestId) {
-        let send_until = self.event_loop.now + HALF_CLOSE_GRACE;
+    fn client_half_closed(&mut self, id: RequestId, at: Nanos) {
+        let send_until = at + HALF_CLOSE_GRACE;
         if !self.requests.mark_half_closed(id, send_until) {
             return;
         }
--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -1,6 +1,7 @@
 //! Requests whose client leaves before their attempts are written to a cache node.
 
 use serde_json::json;
+use std::io::Write;
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
 use testkit::scripted::*;
@@ -48,3 +49,52 @@
     let received = slow_node.rest().len();
     assert!(received < value.len(), "the whole command was written: {received} bytes");
 }
+
+/// Sends a read to silent nodes and these bytes behind it, closes the connection, and asserts that no second attempt begins.
+fn assert_no_attempt_after_close(what: &str, behind: &[u8]) {
+    /// When the second attempt would begin: half of the latency target.
+    const PATIENCE: Duration = Duration::from_millis(300);
+    let nodes = Server::many(3);
+    let proxy = Proxy::with(&nodes, |c| {
+        for class in c["settings"]["categories"].as_array_mut().expect("classes") {
+            class["promise_ns"] = json!(2 * PATIENCE.as_nanos() as u64);
+        }
+    });
+    let mut client = proxy.client();
+    client.get(1, "read", 15_000);
+    client.stream.set_write_timeout(Some(Duration::from_millis(50))).expect("a time-out");
+    let mut sent = 0;
+    while sent < behind.len() {
+        match client.stream.write(&behind[sent..]) {
+            Ok(written) => sent += written,
+            Err(_) => break,
+        }
+    }
+    let mut attempts = vec![nodes.command().0];
+    client.stream.shutdown(Shutdown::Both).expect("shut down");
+    drop(client);
+    let closed = Instant::now();
+    while closed.elapsed() < 3 * PATIENCE {
+        if nodes.soon(&mut attempts).is_some() {
+            panic!("{what}: a second attempt {:?} after the close", closed.elapsed());
+        }
+    }
+    drop(proxy);
+}
+
+/// Guards against the end of a client's stream that stands behind bytes which are not read any more.
+#[test]
+fn no_attempt_begins_for_a_client_that_has_left_behind_unread_bytes() {
+    assert_no_attempt_after_close("nothing", b"");
+    assert_no_attempt_after_close("noise", &[b'x'; 1 << 20]);
+    assert_no_attempt_after_close("a huge value", &huge_value());
+    assert_no_attempt_after_close("short commands", &encode(&["PING"]).repeat(4_000));
+}
+
+/// A command with a value that is longer than allowed, and a part of it.
+fn huge_value() -> Vec<u8> {
+    let mut bytes =
+        b"*5\r\n$9\r\nCACHE.SET\r\n$1\r\n1\r\n$1\r\na\r\n$10\r\nc=put,d=15\r\n$60000000\r\n".to_vec();
+    bytes.resize(1 << 20, b'v');
+    bytes
+}
