An id stays in use while its request may still run or its long value is passed on

Cause: an id was free when its request had its answer and no attempt was waited for. An abandoned or failed request has none, though an attempt may run until its time is over, and a request counts as answered when its long value begins.

Evidence: two tests in crates/proxy/tests/departed_clients.rs failed on the code before (left "-ERR failed" and "-BUSY", right "-ERR the request id is in use").

Change: ClientIds keeps the id of a request that was not served until its deadline if an attempt may have run, and that of a long value until its end; at most 8,192 beyond their requests.

--- /dev/null
+++ b/crates/proxy/src/client_ids.rs
@@ -0,0 +1,44 @@
+//! The ids that clients gave to requests which are open, or whose effect may still come. No sockets here.
+
+use calicosaddle::api::RequestId;
+use rustc_hash::FxHashMap;
+use std::collections::HashSet;
+
+/// The most ids that are kept after their requests have ended. Further ones are free at once.
+const MAX_KEPT_IDS: usize = 8_192;
+
+/// The ids in use. Clients choose them, so the hash is keyed.
+#[derive(Debug, Default)]
+pub struct ClientIds {
+    in_use: HashSet<Box<[u8]>>,
+    /// Ids of requests that have ended, by the request.
+    kept: FxHashMap<RequestId, Box<[u8]>>,
+}
+
+impl ClientIds {
+    /// Takes an id; returns false if it is in use.
+    pub fn take(&mut self, id: &[u8]) -> bool {
+        self.in_use.insert(id.into())
+    }
+
+    /// Frees the id of a request that has ended.
+    pub fn free(&mut self, id: &[u8]) {
+        self.in_use.remove(id);
+    }
+
+    /// Keeps the id of a request that has ended until [`ClientIds::release`].
+    pub fn keep(&mut self, request: RequestId, id: &[u8]) {
+        if self.kept.len() < MAX_KEPT_IDS {
+            self.kept.insert(request, id.into());
+        } else {
+            self.free(id);
+        }
+    }
+
+    /// Frees the id that was kept for a request, if there is one.
+    pub fn release(&mut self, request: RequestId) {
+        if let Some(id) = self.kept.remove(&request) {
+            self.in_use.remove(&id);
+        }
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 //! a request by itself only if it has no room for it, before the balancer has seen it.
 
 mod boxes;
+mod client_ids;
 mod descriptors;
 mod event_loop;
 mod front;
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -262,6 +262,9 @@
     fn answer(&mut self, id: RequestId, answer: Answer<'_>, result: FinalResult) {
         let Some((slot, class)) = self.requests.mark_answered(id) else { return };
         self.write_answer(slot, class, answer, result);
+        if result == FinalResult::Failed {
+            self.requests.keep_id_of_unserved(id, self.event_loop.now);
+        }
         self.requests.retire(id);
     }
 
@@ -278,6 +281,9 @@
 
     /// Handles a request's deadline.
     pub(crate) fn request_deadline(&mut self, id: RequestId) {
+        if !self.streamed_values.contains(id) {
+            self.requests.release_id(id);
+        }
         self.end_all_attempts(id, Status::Timeout);
         self.process_pending();
         // The balancer answers a request when its last attempt times out; this is a safeguard in case it does not.
@@ -321,6 +327,7 @@
         self.observers.notify(Notification::Abandoned);
         self.pending_events.push_back(Event::Abandoned(id));
         self.end_all_attempts(id, Status::Cancelled);
+        self.requests.keep_id_of_unserved(id, self.event_loop.now);
         self.requests.retire(id);
     }
 }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -1,13 +1,13 @@
 //! Requests: the command that a client sent, and the table of open requests, each from its arrival until it is answered
 //! and no attempt is under way. No sockets here; connections are represented by their numbers.
 
+use crate::client_ids::ClientIds;
 use crate::platform::config::Config;
 use crate::write_history::WriteHistory;
 use calicosaddle::api::{server_id, Nanos, Request, RequestId, RetrySafety, ServerId};
 use resp::{Command, Protocol, Reply};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use std::io::Write;
 use std::ops::Range;
 use std::rc::Rc;
@@ -263,6 +263,8 @@
     attempts_started: u32,
     open_attempts: Vec<Attempt>,
     answered: bool,
+    /// The id that the client gave stays in use after the request has ended.
+    keeps_id: bool,
     /// The client has shut down its sending side, and the balancer was notified; an open attempt may still answer the
     /// request.
     client_half_closed: bool,
@@ -285,8 +287,8 @@
 #[derive(Debug, Default)]
 pub struct RequestTable {
     open: FxHashMap<RequestId, OpenRequest>,
-    /// The ids that clients gave to the open requests. Clients choose them, so the hash is keyed.
-    client_ids: HashSet<Box<[u8]>>,
+    /// The ids that clients gave to the requests.
+    client_ids: ClientIds,
 }
 
 impl RequestTable {
@@ -311,7 +313,7 @@
         arrived: Nanos,
         now: Nanos,
     ) -> Option<(Request, Nanos)> {
-        if !self.client_ids.insert(query.id().into()) {
+        if !self.client_ids.take(query.id()) {
             return None;
         }
         let margin = ANSWER_MARGIN.min(query.timeout / 10);
@@ -333,6 +335,7 @@
             attempts_started: 0,
             open_attempts: Vec::new(),
             answered: false,
+            keeps_id: false,
             client_half_closed: false,
         };
         self.open.insert(id, open);
@@ -422,11 +425,33 @@
     /// Removes a request that is answered and has no open attempt.
     pub fn retire(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(|o| o.answered && o.open_attempts.is_empty()) {
-            if let Some(open) = self.open.remove(&id) {
-                self.client_ids.remove(open.query.id());
+            match self.open.remove(&id) {
+                Some(open) if open.keeps_id => self.client_ids.keep(id, open.query.id()),
+                Some(open) => self.client_ids.free(open.query.id()),
+                None => {}
             }
         }
     }
+
+    /// Keeps the id of a request in use until [`RequestTable::release_id`].
+    pub fn keep_id(&mut self, id: RequestId) {
+        self.open.entry(id).and_modify(|open| open.keeps_id = true);
+    }
+
+    /// Keeps the id of a request that was not served in use until its deadline, when [`RequestTable::release_id`] is due,
+    /// if an attempt may have run: a node may carry it out until then, and a second request with the id would be another.
+    pub fn keep_id_of_unserved(&mut self, id: RequestId, now: Nanos) {
+        let may_run = |open: &OpenRequest| open.deadline > now && !open.query.written.borrow().is_empty();
+        if self.open.get(&id).is_some_and(may_run) {
+            self.keep_id(id);
+        }
+    }
+
+    /// Lets an id be used again once its request has ended.
+    pub fn release_id(&mut self, id: RequestId) {
+        self.open.entry(id).and_modify(|open| open.keeps_id = false);
+        self.client_ids.release(id);
+    }
 }
 
 #[cfg(test)]
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -27,6 +27,11 @@
 pub struct StreamedValues(FxHashMap<RequestId, StreamedValue>);
 
 impl StreamedValues {
+    /// Whether the value of this request is being streamed.
+    pub fn contains(&self, id: RequestId) -> bool {
+        self.0.contains_key(&id)
+    }
+
     /// The number of values being streamed.
     pub fn len(&self) -> usize {
         self.0.len()
@@ -44,6 +49,8 @@
         length: usize,
     ) {
         let Some((slot, class)) = self.requests.mark_answered(id) else { return };
+        // Another request with its id would be taken for it until the value is complete.
+        self.requests.keep_id(id);
         self.clients.begin_value(slot, format, length);
         self.streamed_values.0.insert(id, StreamedValue { slot, class, connection });
     }
@@ -63,23 +70,30 @@
         }
     }
 
+    /// Ends the streaming of a value, and lets the id of its request be used again.
+    fn end_stream(&mut self, id: RequestId) -> Option<StreamedValue> {
+        let value = self.streamed_values.0.remove(&id)?;
+        self.requests.release_id(id);
+        Some(value)
+    }
+
     /// Completes a value that has arrived in full.
     pub(crate) fn finish_stream(&mut self, id: RequestId, reply: &Reply) {
-        let Some(value) = self.streamed_values.0.remove(&id) else { return };
+        let Some(value) = self.end_stream(id) else { return };
         self.observers.notify(Notification::Answered(FinalResult::Served, value.class));
         self.clients.finish_value(value.slot, reply);
     }
 
     /// Closes the client's connection after its value broke off at the node.
     pub(crate) fn abort_stream(&mut self, id: RequestId) {
-        let Some(value) = self.streamed_values.0.remove(&id) else { return };
+        let Some(value) = self.end_stream(id) else { return };
         self.observers.notify(Notification::Answered(FinalResult::Failed, value.class));
         self.clients.abort_value(value.slot);
     }
 
     /// Stops streaming a value whose client has disconnected.
     pub(crate) fn cancel_stream(&mut self, id: RequestId) {
-        let Some(value) = self.streamed_values.0.remove(&id) else { return };
+        let Some(value) = self.end_stream(id) else { return };
         self.observers.notify(Notification::Abandoned);
         self.boxes.stop_streaming(value.connection, id);
     }
--- a/crates/proxy/src/write_history.rs
+++ b/crates/proxy/src/write_history.rs
@@ -36,6 +36,11 @@
         self.repeat_window.is_some()
     }
 
+    /// Whether no attempt may have been carried out.
+    pub fn is_empty(&self) -> bool {
+        self.written.is_empty()
+    }
+
     /// Records an attempt whose last byte was written.
     pub fn record(&mut self, attempt: WrittenAttempt) {
         self.written.push(attempt);
--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -98,3 +98,76 @@
     bytes.resize(1 << 20, b'v');
     bytes
 }
+
+/// Sends a command with this id over a new connection.
+fn send_with_id(proxy: &Proxy, name: &str, id: &str, class: &str) -> Peer {
+    let mut client = proxy.client();
+    let fields = format!("c={class},d=2000,k=5c0f");
+    let words = [name, "0000000000000001", id, &fields, "v"];
+    client.send(encode(&words[..if name == "CACHE.SET" { 5 } else { 4 }]));
+    client
+}
+
+/// How the client of an abandoned request leaves, and what its node does.
+#[derive(Clone, Copy, Debug)]
+enum Abandoned {
+    /// The client resets its connection, and the node goes on working.
+    Reset,
+    /// The client closes its side, and the node ends the connection.
+    ClosedAndFailed,
+}
+
+/// Guards against a write that runs twice because its id comes again once its client has left, while a node may still
+/// carry it out.
+#[test]
+fn the_id_of_an_abandoned_request_is_not_accepted_again_before_its_time_is_over() {
+    for (class, how) in
+        [("once", Abandoned::Reset), ("put", Abandoned::Reset), ("once", Abandoned::ClosedAndFailed)]
+    {
+        let nodes = Server::many(2);
+        let proxy = Proxy::start(&nodes);
+        let abandoned = send_with_id(&proxy, "CACHE.SET", "abandoned", class);
+        let sent = Instant::now();
+        let (at_node, _) = nodes.command();
+        match how {
+            Abandoned::Reset => abandoned.reset(),
+            Abandoned::ClosedAndFailed => {
+                drop(abandoned);
+                std::thread::sleep(Duration::from_millis(50));
+                at_node.reset();
+            }
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        let mut again = send_with_id(&proxy, "CACHE.SET", "abandoned", class);
+        assert_eq!(again.line(), "-ERR the request id is in use", "class {class}, {how:?}");
+        // Once the time of the first is over, no node works on it any more.
+        std::thread::sleep(Duration::from_millis(2_100).saturating_sub(sent.elapsed()));
+        let mut later = send_with_id(&proxy, "CACHE.SET", "abandoned", class);
+        let (mut at_node, _) = nodes.command();
+        at_node.send(RECEIPT);
+        assert_eq!(later.command()[0], "ok", "class {class}, {how:?}");
+    }
+}
+
+/// Guards against serving another client with the id of a request whose long value is being passed on.
+#[test]
+fn the_id_of_a_request_whose_long_value_is_being_passed_on_is_in_use() {
+    const VALUE_BYTES: usize = 200_000;
+    let node = Server::start();
+    let proxy = Proxy::start(&node);
+    let mut client = send_with_id(&proxy, "CACHE.GET", "long", "read");
+    let (mut at_node, _) = node.command();
+    let answer = hit(&"v".repeat(VALUE_BYTES));
+    let (first, rest) = answer.split_at(VALUE_BYTES / 2);
+    at_node.send(first);
+    client.take(1_000);
+    let mut other = send_with_id(&proxy, "CACHE.GET", "long", "read");
+    assert_eq!(other.line(), "-ERR the request id is in use");
+    at_node.send(rest);
+    client.take(answer.len() - 1_000);
+    let mut later = send_with_id(&proxy, "CACHE.GET", "long", "read");
+    let mut peers = vec![at_node];
+    let (at, _) = node.any(&mut peers);
+    peers[at].send(hit("short"));
+    assert_eq!(later.command()[0], "short");
+}
