Processes of an upgrade share the ids of open requests

Cause: each process knew the ids of its own requests only, while both count as one proxy.

Change: with an inherited socket the ids in use are also in a file in the temporary directory, bound to the socket's inode. Weighed and not taken: asking the other process for each id. Without NODE_LISTEN_FD nothing changes.

--- a/crates/proxy/src/client_ids.rs
+++ b/crates/proxy/src/client_ids.rs
@@ -1,5 +1,6 @@
 //! The ids that clients gave to requests which are open, or whose effect may still come. No sockets here.
 
+use crate::platform::shared_ids::SharedIds;
 use calicosaddle::api::RequestId;
 use rustc_hash::FxHashMap;
 use std::collections::HashSet;
@@ -11,19 +12,30 @@
 #[derive(Debug, Default)]
 pub struct ClientIds {
     in_use: HashSet<Box<[u8]>>,
+    /// The same at all processes that serve this listening socket.
+    shared: Option<SharedIds>,
     /// Ids of requests that have ended, by the request.
     kept: FxHashMap<RequestId, Box<[u8]>>,
 }
 
 impl ClientIds {
+    /// No ids; those that are taken are shared with other processes, if there is a table for it.
+    pub fn new(shared: Option<SharedIds>) -> Self {
+        ClientIds { shared, ..ClientIds::default() }
+    }
+
     /// Takes an id; returns false if it is in use.
     pub fn take(&mut self, id: &[u8]) -> bool {
+        if self.in_use.contains(id) || self.shared.as_ref().is_some_and(|shared| !shared.take(id)) {
+            return false;
+        }
         self.in_use.insert(id.into())
     }
 
     /// Frees the id of a request that has ended.
     pub fn free(&mut self, id: &[u8]) {
         self.in_use.remove(id);
+        self.shared.iter().for_each(|shared| shared.free(id));
     }
 
     /// Keeps the id of a request that has ended until [`ClientIds::release`].
@@ -38,7 +50,7 @@
     /// Frees the id that was kept for a request, if there is one.
     pub fn release(&mut self, request: RequestId) {
         if let Some(id) = self.kept.remove(&request) {
-            self.in_use.remove(&id);
+            self.free(&id);
         }
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -38,6 +38,7 @@
 use observers::{Notification, Observers};
 use platform::discovery::{Discovery, ListUpdate, PollResult};
 use platform::inherited;
+use platform::shared_ids::SharedIds;
 use platform::signals::Signals;
 use request::RequestTable;
 use shadow_traffic::ShadowTraffic;
@@ -121,6 +122,7 @@
         operator: &operator::Operator,
     ) -> Result<Self, Box<dyn std::error::Error>> {
         let inherited = config.inherited_listener.as_deref().map(inherited::take_listener).transpose()?;
+        let shared_ids = inherited.as_ref().and_then(open_shared_ids);
         let event_loop = EventLoop::new()?;
         let (registry, now) = (event_loop.registry(), event_loop.now);
         let signals = Signals::listen(registry, Source::Sigterm.token(), Source::Sighup.token())?;
@@ -159,7 +161,7 @@
             signals,
             balancer: Balancer::new(config.settings.clone(), config.seed),
             clients,
-            requests: RequestTable::default(),
+            requests: RequestTable::new(shared_ids),
             streamed_values: StreamedValues::default(),
             descriptor_budget,
             gates: Gates::new(config.max_open_requests),
@@ -506,6 +508,12 @@
     }
 }
 
+/// Opens the table of ids that is shared with the other processes of an upgrade. Without it the process serves all the same.
+fn open_shared_ids(listener: &std::net::TcpListener) -> Option<SharedIds> {
+    let ids = SharedIds::open(listener);
+    ids.inspect_err(|e| eprintln!("ids are not shared with other processes: {e}")).ok()
+}
+
 /// True if a socket's peer has closed the connection or it has failed.
 fn is_closed(event: &SocketEvent) -> bool {
     event.is_read_closed() || event.is_error()
--- a/crates/proxy/src/platform/mod.rs
+++ b/crates/proxy/src/platform/mod.rs
@@ -3,4 +3,5 @@
 pub mod config;
 pub mod discovery;
 pub mod inherited;
+pub mod shared_ids;
 pub mod signals;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -3,6 +3,7 @@
 
 use crate::client_ids::ClientIds;
 use crate::platform::config::Config;
+use crate::platform::shared_ids::SharedIds;
 use crate::write_history::WriteHistory;
 use calicosaddle::api::{server_id, Nanos, Request, RequestId, RetrySafety, ServerId};
 use resp::{Command, Protocol, Reply};
@@ -292,6 +293,11 @@
 }
 
 impl RequestTable {
+    /// No requests; see [`ClientIds::new`] for `shared_ids`.
+    pub fn new(shared_ids: Option<SharedIds>) -> Self {
+        RequestTable { client_ids: ClientIds::new(shared_ids), ..RequestTable::default() }
+    }
+
     /// The number of open requests, including answered ones with open attempts.
     pub fn len(&self) -> usize {
         self.open.len()
--- a/crates/proxy/tests/operators.rs
+++ b/crates/proxy/tests/operators.rs
@@ -163,6 +163,46 @@
     assert_eq!(metrics(second)["svc.success.read"].0, 1);
 }
 
+/// Connects a client that is accepted by `accepting`, while `other` listens on the same socket.
+fn connect_to_one_of(accepting: &Proxy, other: &Proxy) -> Peer {
+    other.signal("-STOP");
+    let mut client = accepting.client();
+    client.send(encode(&["PING"]));
+    assert_eq!(client.line(), "+PONG");
+    other.signal("-CONT");
+    client
+}
+
+/// Guards against a request that runs twice because its id comes to the other process of an upgrade, too.
+#[test]
+fn an_id_that_is_in_use_at_one_process_of_an_upgrade_is_refused_by_the_other() {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let nodes = Server::many(1);
+    let admins = [unused_address(), unused_address()];
+    let processes = admins.map(|admin| start_on_socket(&socket, &nodes, admin));
+    admins.iter().for_each(|admin| wait_for_answer(*admin, "ready", "done\n"));
+    let [old, new] = &processes;
+    let write = encode(&["CACHE.SET", "0000000000000001", "twice", "c=once,d=2000", "v"]);
+    for (first, second) in [(old, new), (new, old)] {
+        let mut at_first = connect_to_one_of(first, second);
+        at_first.send(&write);
+        let (mut at_node, _) = nodes.command();
+        let mut at_second = connect_to_one_of(second, first);
+        at_second.send(&write);
+        assert_eq!(at_second.line(), "-ERR the request id is in use");
+        at_node.send(RECEIPT);
+        assert_eq!(at_first.command()[0], "ok");
+        // Once the request is answered its id is free at both.
+        at_second.send(&write);
+        let mut peers = vec![at_node];
+        let (at, _) = nodes.any(&mut peers);
+        peers[at].send(RECEIPT);
+        assert_eq!(at_second.command()[0], "ok");
+        // The connections to the node end, so that the next command comes on a new one.
+        peers.drain(..).for_each(Peer::reset);
+    }
+}
+
 #[test]
 fn an_invalid_listen_descriptor_is_reported_in_one_line() {
     for (number, named) in [("5", "not a socket"), ("77", "77"), ("five", "no number")] {
