A long value that breaks off leaves the answers before it on their way

Cause: a value that breaks off ended its client's connection wherever it stood in the order, and discarded what was complete.

Evidence: two tests in crates/proxy/tests/long.rs failed on the code before: no answer to the write before the value; 123,140 of 240,112 bytes of complete answers to a slow client.

Change: a value of which nothing has been passed on fails like any other request; one that has begun ends its connection behind what is complete before it.

--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -566,7 +566,12 @@
     fn remove(&mut self, key: usize) {
         let Some(client) = self.clients.try_remove(key) else { return };
         self.release(&client);
-        for slot in client.slots {
+        self.disconnect_requests(client.slots);
+    }
+
+    /// Reports the requests in these slots as ones that can't be answered.
+    fn disconnect_requests(&mut self, slots: impl IntoIterator<Item = Slot>) {
+        for slot in slots {
             match slot {
                 Slot::Waiting(WaitingSlot { id, .. }) | Slot::Streaming { id, .. } => {
                     self.events.push_back(ClientEvent::Disconnected(id))
--- a/crates/proxy/src/front/clients/values.rs
+++ b/crates/proxy/src/front/clients/values.rs
@@ -1,7 +1,7 @@
 //! Long values that are streamed to clients as the answers to their requests.
 
 use super::{Client, Clients, Slot, WaitingSlot};
-use crate::request::ReplySlot;
+use crate::request::{Answer, ReplySlot};
 use resp::{BodyFormat, Reply};
 
 impl Clients {
@@ -58,11 +58,31 @@
         self.advance(slot.client);
     }
 
-    /// Closes the connection of a value that can't be completed, which is how the client recognises the failure.
+    /// Gives up a value that can't be completed. One of which nothing has been passed on yet has failed like any other
+    /// request. Otherwise the connection is closed behind what has arrived, which is how the client recognises the failure.
     pub fn abort_value(&mut self, slot: ReplySlot) {
-        if let Some((client, position)) = self.find_slot(slot) {
-            client.slots.remove(position);
-            self.remove(slot.client);
+        let Some((client, position)) = self.find_slot(slot) else { return };
+        let Slot::Streaming { protocol, queued, .. } = &client.slots[position] else { return };
+        if position == 0 {
+            self.end_after_output(slot.client);
+            return;
         }
+        let mut failure = Vec::new();
+        Answer::Failed.write(*protocol, &mut failure);
+        client.queued_bytes -= queued.len();
+        client.queued_bytes += failure.len();
+        client.slots[position] = Slot::Ready(failure);
+        self.advance(slot.client);
+    }
+
+    /// Closes a connection once what is next in order is written. The requests whose answers would follow end with it.
+    fn end_after_output(&mut self, key: usize) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.closing = true;
+        let unanswered = std::mem::take(&mut client.slots);
+        client.first_slot += unanswered.len() as u64;
+        (client.queued_bytes, client.reserved_bytes) = (0, 0);
+        self.disconnect_requests(unanswered.into_iter().skip(1));
+        self.advance(key);
     }
 }
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -2,9 +2,9 @@
 //! value has been passed to the client: the balancer then treats it as complete, and no other answer can replace it.
 //!
 //! Streaming bounds memory for values of any length: no more is read from the node than the client accepts, so that a
-//! slow client holds up the node through TCP flow control. When a value breaks off, the client's connection has to be
-//! closed, because a client has no other way to tell that the value is incomplete; the requests pipelined behind it
-//! end with the connection.
+//! slow client holds up the node through TCP flow control. When a value breaks off of which a part has been passed on, the
+//! client's connection has to be closed, because a client has no other way to tell that the value is incomplete; the
+//! requests pipelined behind it end with the connection.
 
 use crate::observers::{FinalResult, Notification};
 use crate::request::ReplySlot;
@@ -84,7 +84,7 @@
         self.clients.finish_value(value.slot, reply);
     }
 
-    /// Closes the client's connection after its value broke off at the node.
+    /// Fails a value that broke off at the node, with the client's connection if a part has been passed on.
     pub(crate) fn abort_stream(&mut self, id: RequestId) {
         let Some(value) = self.end_stream(id) else { return };
         self.observers.notify(Notification::Answered(FinalResult::Failed, value.class));
--- a/crates/proxy/tests/long.rs
+++ b/crates/proxy/tests/long.rs
@@ -1,7 +1,7 @@
 //! Long values: streamed while they arrive, in less memory than their size, and failures in the middle of one.
 
 use serde_json::json;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 use testkit::scripted::*;
 
@@ -319,3 +319,121 @@
     stopped.send(&bytes[..bytes.len() / 2]);
     assert!(stopped.line().starts_with("-ERR Protocol error"));
 }
+
+// Guards against a long answer that is cut off while its node is still writing it slowly, in pieces and with pauses, past
+// the deadline, with others before and behind it.
+#[test]
+fn a_long_value_that_its_node_writes_slowly_is_passed_on_whole() {
+    const PIECES: usize = 5;
+    let nodes = Server::many(3);
+    let proxy = Proxy::with(&nodes, |c| c["settings"]["caps"]["second_copies"] = json!(false));
+    let value = value_text(300_000, 0);
+    let response = response_head(value.len()) + &value + RESPONSE_TAIL;
+    let mut writers = Vec::new();
+    let mut clients: Vec<Peer> = (0..3).map(|_| proxy.client()).collect();
+    for (key, client) in (0..).zip(&mut clients) {
+        client.get(10 + key, "read", 400);
+        let mut at_node = nodes.command().0;
+        let response = response.clone();
+        writers.push(std::thread::spawn(move || {
+            let size = response.len() / PIECES + 1;
+            for (number, piece) in response.as_bytes().chunks(size).enumerate() {
+                // From shorter to longer than any time-out of a request.
+                std::thread::sleep(Duration::from_millis(100 + 500 * number as u64));
+                at_node.send(piece);
+            }
+            at_node
+        }));
+    }
+    for client in &mut clients {
+        assert!(client.command()[0] == value, "the value differs from the one sent");
+    }
+    writers.into_iter().for_each(|w| drop(w.join().expect("the node wrote the whole value")));
+}
+
+// Guards against an answer that comes long after its time, and a write that a node completes after that, where the node
+// reads a long write slowly or not at all.
+#[test]
+fn a_long_write_that_its_node_reads_slowly_is_answered_in_time_and_not_completed_afterwards() {
+    const TIME_MS: u64 = 1_000;
+    /// The protocol's tolerance for an answer that comes late, and that for its times.
+    const SLACK: Duration = Duration::from_millis(500 + 50);
+    for (length, read_before) in [(200_000, 0), (1 << 20, 0), (1 << 20, 100_000), (VALUE_BYTES, 100_000)] {
+        let nodes = Server::many(1);
+        let proxy = Proxy::start(&nodes);
+        let mut client = proxy.client();
+        let sent = Instant::now();
+        client.set(1, "once", TIME_MS, &value_text(length, 0));
+        let mut at_node = nodes.accept();
+        let mut received = at_node.take(read_before).len();
+        let answer = client.line();
+        let took = sent.elapsed();
+        assert!(answer.starts_with("-ERR"), "{answer}");
+        assert!(took < Duration::from_millis(TIME_MS) + SLACK, "answered after {took:?}");
+        // What the kernel of the node's machine has taken can't be taken back; all of a long value does not fit into it.
+        received += at_node.rest().len();
+        let fits_into_buffers = length <= 200_000;
+        assert!(fits_into_buffers || received < length, "{length} bytes, all came after the final answer");
+    }
+}
+
+// Guards against requests that lose their answers because a long value behind them breaks off.
+#[test]
+fn a_long_value_that_breaks_off_leaves_the_answers_before_it_and_what_has_not_begun() {
+    let nodes = Server::many(3);
+    let proxy = Proxy::with(&nodes, |c| c["settings"]["caps"]["second_copies"] = json!(false));
+    let mut client = proxy.client();
+    client.set(1, "put", 15_000, "v");
+    let (mut write, _) = nodes.command();
+    client.get(2, "read", 15_000);
+    let (mut long, _) = nodes.command();
+    client.get(3, "read", 15_000);
+    let (mut behind, _) = nodes.command();
+    long.send(response_head(VALUE_BYTES) + &value_text(200_000, 0));
+    std::thread::sleep(Duration::from_millis(100));
+    long.reset();
+    std::thread::sleep(Duration::from_millis(100));
+    assert!(!client.has_input(), "an answer before its turn");
+    write.send(RECEIPT);
+    behind.send(hit("behind"));
+    assert_eq!(client.command()[0], "ok");
+    // Nothing of the long value was passed on, so it has failed and the connection goes on.
+    assert_eq!(client.line(), "-ERR failed");
+    assert_eq!(client.command()[0], "behind");
+}
+
+// Guards against complete answers that are discarded when the value behind them breaks off, as their client reads slowly.
+#[test]
+fn a_long_value_that_breaks_off_once_it_has_begun_ends_the_connection_behind_the_answers_before_it() {
+    const SHORT_ANSWERS: u64 = 4;
+    let nodes = Server::many(2);
+    let proxy = Proxy::with(&nodes, |c| c["settings"]["caps"]["second_copies"] = json!(false));
+    // A client for which the kernel holds little, so that the proxy has to keep the answers.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(8 << 10).expect("a receive buffer");
+    socket.set_tcp_mss(1_460).expect("a segment size");
+    socket.connect(&proxy.address.into()).expect("connected");
+    let mut client = std::net::TcpStream::from(socket);
+    let short = hit(&value_text(60_000, 0));
+    let mut peers = Vec::new();
+    for key in 0..=SHORT_ANSWERS {
+        let fields = "c=read,d=15000";
+        let command = encode(&["CACHE.GET", &format!("{key:x}"), &format!("id{key}"), fields]);
+        client.write_all(&command).expect("written");
+        let (at, _) = nodes.any(&mut peers);
+        if key < SHORT_ANSWERS {
+            peers[at].send(&short);
+            continue;
+        }
+        let mut long = peers.swap_remove(at);
+        long.send(response_head(VALUE_BYTES) + &value_text(200_000, 0));
+        std::thread::sleep(Duration::from_millis(100));
+        long.reset();
+    }
+    std::thread::sleep(Duration::from_millis(100));
+    let mut received = Vec::new();
+    let _ = client.read_to_end(&mut received);
+    let before = short.repeat(SHORT_ANSWERS as usize);
+    assert!(received.starts_with(&before), "{} of {} bytes came", received.len(), before.len());
+    assert!(received.len() < before.len() + VALUE_BYTES, "a value that broke off looks whole");
+}
