A connection leads to a process: a new one at the same address is another endpoint

Cause: a node's place was its address. The start time in the list closed idle connections in the moment in which it changed, and was looked at nowhere else.

Change: an Endpoint is an address and the start time of the process, as known when the connection is established. New attempts go to endpoints that the node still has, a write that may have arrived only to the one where it may have; both are checked again when it is written. Answers to clients are matched by numbers that no two connections share.

--- a/crates/proxy/src/boxes/connection.rs
+++ b/crates/proxy/src/boxes/connection.rs
@@ -2,7 +2,8 @@
 
 use super::socket::Dial;
 use crate::request::Query;
-use addresses::{AddressId, ConnectionRace};
+use crate::write_history::Endpoint;
+use addresses::ConnectionRace;
 use calicosaddle::api::{Nanos, RequestId, ServerId};
 use pipeline::{Command, CommandKind, ForeignReplyDetector, Pipeline, ReplyArrival, SettleDelay};
 use resp::{HelloReplyParser, Protocol, ReplyReader};
@@ -24,16 +25,17 @@
 }
 
 impl QueuedAttempt {
-    /// The address that a write must use at a node, if it may have reached the node over that address already.
+    /// Where a write must go at a node, if it may have reached the node there already.
     ///
     /// A node that detects repeated writes by the address they come in on would execute the write a second time if it
-    /// came over another address. The write uses the same address or is not sent at all, also once the address has left
-    /// the list. With `repeat_across_addresses` nodes detect repeats on all their addresses, and none is required.
-    pub fn required_address(&self, server: ServerId, repeat_across_addresses: bool) -> Option<AddressId> {
+    /// came over another address, and so may a new process of the node. The write goes to the same endpoint or is not sent
+    /// at all, also once the endpoint has left the list. With `repeat_across_addresses` nodes detect repeats wherever
+    /// they come in, and no endpoint is required.
+    pub fn required_endpoint(&self, server: ServerId, repeat_across_addresses: bool) -> Option<Endpoint> {
         if repeat_across_addresses || !self.query.write {
             return None;
         }
-        self.query.written.borrow().address_at(server)
+        self.query.written.borrow().endpoint_at(server)
     }
 
     /// Whether its last byte may be written now, given the other attempts of its request.
@@ -67,6 +69,8 @@
     pub server: ServerId,
     /// Its serial number among all connections since the start.
     pub serial: u64,
+    /// When the node's process was started that it leads to, as far as that was known when it was established.
+    pub process_started_at: Nanos,
     /// It is established.
     pub connected: bool,
     /// The attempts on it.
@@ -111,6 +115,11 @@
 }
 
 impl Connection {
+    /// Where it leads.
+    pub fn endpoint(&self) -> Endpoint {
+        Endpoint { address: self.link.address, process_started_at: self.process_started_at }
+    }
+
     /// Attempts on it, including cancelled ones whose replies are still due.
     pub fn depth(&self) -> usize {
         self.pipeline.depth()
--- a/crates/proxy/src/boxes/dial.rs
+++ b/crates/proxy/src/boxes/dial.rs
@@ -6,7 +6,8 @@
 use super::socket::{Dial, Socket};
 use super::{Boxes, NewConnection, QueuedAttempt};
 use crate::event_loop::Source;
-use addresses::{AddressId, ConnectionRace};
+use crate::write_history::Endpoint;
+use addresses::ConnectionRace;
 use calicosaddle::api::{Nanos, ServerId};
 use mio::{Registry, Token};
 use pipeline::{ForeignReplyDetector, Pipeline};
@@ -34,12 +35,12 @@
 }
 
 impl Boxes {
-    /// Opens a connection to a node, over the required address if there is one. Returns no key if no descriptor is
+    /// Opens a connection to a node, to the required endpoint if there is one. Returns no key if no descriptor is
     /// free or no address can be dialed.
     pub(super) fn open(
         &mut self,
         server: ServerId,
-        required: Option<AddressId>,
+        required: Option<Endpoint>,
         queued: &QueuedAttempt,
         now: Nanos,
     ) -> (Option<usize>, Option<NewConnection>) {
@@ -47,8 +48,9 @@
             return (None, None);
         }
         let Some(node) = self.nodes.get_mut(&server) else { return (None, None) };
+        let process_started_at = node.entry.started_at;
         let order = match required {
-            Some(id) => vec![id],
+            Some(endpoint) => vec![endpoint.address],
             None => node.addresses.connection_order(now, queued.query.write),
         };
         let mut race = ConnectionRace::new(order);
@@ -68,6 +70,7 @@
             race,
             server,
             serial: self.last_serial,
+            process_started_at,
             connected: false,
             pipeline: Pipeline::default(),
             write_buffer: Vec::new(),
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -239,17 +239,20 @@
         self.connections.get(key).is_some_and(|c| c.pipeline.is_written((id, attempt)))
     }
 
-    /// Closes connections that have been idle too long or have stalled within a reply. A stall comes from a reply that
+    /// Closes connections that have been idle too long, lead to a process that has been replaced, or have stalled within a reply. A stall comes from a reply that
     /// is shorter than it states or has no end, or from a node that fails while it writes.
     pub fn sweep(&mut self, now: Nanos) {
         let elapsed =
             now.saturating_sub(std::mem::replace(&mut self.last_sweep, now)).min(MAX_DECAY_PER_SWEEP);
         self.idle_outcomes.decay(elapsed);
         self.idle_limit = self.idle_outcomes.limit(self.configured_idle_limit);
+        let nodes = &self.nodes;
+        let is_replaced =
+            |c: &Connection| nodes.get(&c.server).is_some_and(|n| n.entry.started_at != c.process_started_at);
         let is_expired = |c: &Connection| {
             let idle = now.saturating_sub(c.last_active);
             let timeout = if c.streaming { LONG_VALUE_STALL_TIMEOUT } else { REPLY_STALL_TIMEOUT };
-            (c.depth() == 0 && c.connected && idle >= self.idle_limit)
+            (c.depth() == 0 && c.connected && (idle >= self.idle_limit || is_replaced(c)))
                 || (c.mid_reply() && !c.paused && now.saturating_sub(c.last_read) >= timeout)
         };
         let expired = self.connections.iter().filter(|(_, c)| is_expired(c)).map(|(key, _)| key);
--- a/crates/proxy/src/boxes/node.rs
+++ b/crates/proxy/src/boxes/node.rs
@@ -1,7 +1,8 @@
 //! The proxy's record of one cache node.
 
 use super::connection::Connection;
-use addresses::{AddressId, AddressTable};
+use crate::write_history::Endpoint;
+use addresses::AddressTable;
 use calicosaddle::api::{Nanos, ServerEntry, ServerState};
 use control::message::Pipelines;
 use pipeline::{BoxLatencies, ConnectionLimit};
@@ -77,13 +78,21 @@
         self.entry.state == ServerState::Ready && !self.drained
     }
 
-    /// Whether an established connection may carry a new attempt: its address is usable, and is the required one if
-    /// there is one.
-    pub fn can_carry(&self, connection: &Connection, required: Option<AddressId>) -> bool {
-        match required {
-            Some(id) => id == connection.link.address && self.addresses.address(id).is_some(),
-            None => self.addresses.usable(connection.link.address),
-        }
+    /// Whether the endpoint is still one of the node: its address is listed, and its process has not been replaced.
+    pub fn has_endpoint(&self, endpoint: Endpoint) -> bool {
+        self.addresses.address(endpoint.address).is_some()
+            && endpoint.process_started_at == self.entry.started_at
+    }
+
+    /// Whether an established connection may carry a new attempt: it leads to the required endpoint if there is one, or
+    /// else to a usable address.
+    pub fn can_carry(&self, connection: &Connection, required: Option<Endpoint>) -> bool {
+        let endpoint = connection.endpoint();
+        let fits = match required {
+            Some(required) => required == endpoint,
+            None => self.addresses.usable(endpoint.address),
+        };
+        fits && self.has_endpoint(endpoint)
     }
 
     /// Whether to open connections with `HELLO 3`. A node that refused is asked again after it has restarted.
--- a/crates/proxy/src/boxes/placement.rs
+++ b/crates/proxy/src/boxes/placement.rs
@@ -4,7 +4,7 @@
 use super::connection::Connection;
 use super::node::Node;
 use super::{Boxes, NewConnection, NodeEvent, QueuedAttempt};
-use addresses::AddressId;
+use crate::write_history::Endpoint;
 use calicosaddle::api::{Nanos, RequestId, ServerId, Status};
 use pipeline::{Command, ConnectionState, LatencyContext, Placement, PlacementRequest};
 
@@ -18,9 +18,9 @@
         queued: QueuedAttempt,
         now: Nanos,
     ) -> Option<(usize, Option<NewConnection>)> {
-        let required = queued.required_address(server, self.repeat_writes_across_addresses);
-        let is_listed = |node: &Node| required.is_none_or(|id| node.addresses.address(id).is_some());
-        if !self.nodes.get(&server).is_some_and(is_listed) {
+        let required = queued.required_endpoint(server, self.repeat_writes_across_addresses);
+        let may_be_sent = |node: &Node| required.is_none_or(|endpoint| node.has_endpoint(endpoint));
+        if !self.nodes.get(&server).is_some_and(may_be_sent) {
             self.end_unsent(queued, Status::NotSent);
             return None;
         }
@@ -54,7 +54,7 @@
         &mut self,
         server: ServerId,
         queued: &QueuedAttempt,
-        required: Option<AddressId>,
+        required: Option<Endpoint>,
         now: Nanos,
     ) -> Option<(usize, Option<NewConnection>)> {
         let node = self.nodes.get(&server)?;
@@ -80,12 +80,12 @@
     }
 
     /// Selects one of the node's connections for an attempt, a new one if `may_open`, or none. With a required
-    /// address, only connections that can carry an attempt for that address are candidates.
+    /// endpoint, only connections that lead there are candidates.
     fn choose(
         &self,
         node: &Node,
         queued: &QueuedAttempt,
-        required: Option<AddressId>,
+        required: Option<Endpoint>,
         may_open: bool,
         now: Nanos,
     ) -> Placement<usize> {
@@ -155,7 +155,7 @@
             node.connections.iter().filter(waits).min_by_key(|k| self.connections[**k].link.started_at);
         let Some(connecting) = connecting.copied() else { return };
         let fits = |queued: &QueuedAttempt| {
-            node.can_carry(c, queued.required_address(c.server, self.repeat_writes_across_addresses))
+            node.can_carry(c, queued.required_endpoint(c.server, self.repeat_writes_across_addresses))
         };
         if !self.connections[connecting].pipeline.peek_queued().is_some_and(fits) {
             return;
--- a/crates/proxy/src/boxes/read.rs
+++ b/crates/proxy/src/boxes/read.rs
@@ -78,6 +78,7 @@
         self.racing_dials -= usize::from(c.racing_dial.take().is_some());
         let server = c.server;
         if let Some(node) = self.nodes.get_mut(&server) {
+            c.process_started_at = node.entry.started_at;
             let connect_time = now.saturating_sub(c.link.started_at);
             node.addresses.connected(c.link.address, connect_time);
             for latencies in [node.latencies_mut(), &mut self.latencies] {
--- a/crates/proxy/src/boxes/write.rs
+++ b/crates/proxy/src/boxes/write.rs
@@ -4,8 +4,7 @@
 use super::connection::Connection;
 use super::node::Node;
 use super::{Boxes, NodeEvent, QueuedAttempt, MAX_IDLE_BUFFER_BYTES, MS};
-use crate::write_history::WrittenAttempt;
-use addresses::AddressId;
+use crate::write_history::{Endpoint, WrittenAttempt};
 use calicosaddle::api::{Nanos, Status};
 use resp::{HelloReplyParser, Reply};
 use std::io::{self, IoSlice, Write};
@@ -35,22 +34,23 @@
 
 /// The outcome of an attempt that must not be written any more. While it waited, its node may have begun to drain or
 /// changed its address, its client may have left, its deadline may have passed, or another attempt may have been carried
-/// out so long ago that nodes would not recognise this one as its repeat. `required` is the only address over which it may
-/// be written, if there is one.
+/// out so long ago that nodes would not recognise this one as its repeat. `endpoint` is where its connection leads, and
+/// `required` the only one to which it may be written, if there is one.
 fn outcome_instead_of_sending(
     queued: &QueuedAttempt,
     node: Option<&Node>,
-    address: AddressId,
-    required: Option<AddressId>,
+    endpoint: Endpoint,
+    required: Option<Endpoint>,
     now: Nanos,
 ) -> Option<Status> {
     let Some(node) = node.filter(|n| n.accepts_work()) else { return Some(Status::NotSent) };
     let is_allowed = queued.query.send_until.get() > now && queued.may_be_written(now);
-    if !is_allowed || required.is_some_and(|id| id != address) {
+    let leads_elsewhere = endpoint.process_started_at != node.entry.started_at
+        || required.is_some_and(|required| required != endpoint);
+    if !is_allowed || leads_elsewhere {
         return Some(Status::NotSent);
     }
-    let is_listed = node.addresses.address(address).is_some();
-    (!is_listed || queued.deadline <= now).then_some(Status::ConnectFailed)
+    (!node.has_endpoint(endpoint) || queued.deadline <= now).then_some(Status::ConnectFailed)
 }
 
 impl Boxes {
@@ -160,14 +160,14 @@
         if let Some(node) = self.nodes.get_mut(&c.server) {
             node.stats.writes += 1;
         }
-        let (server, address) = (c.server, c.link.address);
+        let (server, endpoint) = (c.server, c.endpoint());
         let (attempts_written, events) = (&mut self.attempts_written, &mut self.events);
         c.pipeline.record_written(bytes, now, |queued| {
             *attempts_written += 1;
             if !queued.query.has_effect() {
                 return;
             }
-            let written = WrittenAttempt { attempt: queued.attempt, server, address, written_at: now };
+            let written = WrittenAttempt { attempt: queued.attempt, server, endpoint, written_at: now };
             queued.query.written.borrow_mut().record(written);
             events.push_back(NodeEvent::Written(queued.id));
         });
@@ -198,8 +198,8 @@
         {
             let Some(queued) = c.pipeline.pop_queued() else { break };
             let node = self.nodes.get_mut(&c.server);
-            let required = queued.required_address(c.server, self.repeat_writes_across_addresses);
-            let unsent = outcome_instead_of_sending(&queued, node.as_deref(), c.link.address, required, now);
+            let required = queued.required_endpoint(c.server, self.repeat_writes_across_addresses);
+            let unsent = outcome_instead_of_sending(&queued, node.as_deref(), c.endpoint(), required, now);
             if let Some(status) = unsent {
                 self.events.push_back(NodeEvent::Ended(queued.id, queued.attempt, status, Reply::default()));
                 continue;
--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -37,6 +37,10 @@
 /// The maximum number of connections accepted in an iteration of the event loop.
 const MAX_ACCEPTS: usize = 64;
 
+/// The numbers of slots have this many bits for the commands of one connection; those above it are the connection's, so that
+/// an answer can't be taken for one to a client that has the same key later.
+const SLOT_NUMBER_BITS: u32 = 32;
+
 /// An event caused by a client.
 #[derive(Debug)]
 pub enum ClientEvent {
@@ -101,7 +105,7 @@
     session: Session,
     /// The commands that have not been answered completely.
     slots: VecDeque<Slot>,
-    /// The number of the first slot.
+    /// The number of the first slot, see [`SLOT_NUMBER_BITS`].
     first_slot: u64,
     /// The answers that are next in order.
     output: OutputQueue,
@@ -323,7 +327,7 @@
                 parser: CommandParser::new(self.value_memory.clone()),
                 session: Session::new(self.accepted_count, &self.users),
                 slots: VecDeque::new(),
-                first_slot: 0,
+                first_slot: self.accepted_count << SLOT_NUMBER_BITS,
                 output: OutputQueue::default(),
                 queued_bytes: 0,
                 reserved_bytes: 0,
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -209,7 +209,7 @@
 pub struct ReplySlot {
     /// The connection.
     pub client: usize,
-    /// The command's number on this connection.
+    /// The command's number, which is different for each command since the start.
     pub number: u64,
 }
 
--- a/crates/proxy/src/write_history.rs
+++ b/crates/proxy/src/write_history.rs
@@ -4,6 +4,15 @@
 use addresses::AddressId;
 use calicosaddle::api::{Class, Nanos, ServerId};
 
+/// Where a connection to a cache node leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// The address.
+    pub address: AddressId,
+    /// When the node's process was started. Another process at the same address is another endpoint.
+    pub process_started_at: Nanos,
+}
+
 /// An attempt whose last byte was written.
 #[derive(Clone, Copy, Debug)]
 pub struct WrittenAttempt {
@@ -11,8 +20,8 @@
     pub attempt: u32,
     /// The node that it was written to.
     pub server: ServerId,
-    /// The address that it was written over.
-    pub address: AddressId,
+    /// Where the connection that carried it leads.
+    pub endpoint: Endpoint,
     /// When its last byte was written.
     pub written_at: Nanos,
 }
@@ -51,9 +60,9 @@
         self.written.retain(|written| written.attempt != attempt);
     }
 
-    /// The address over which the request may have reached this node, whether or not the address is still listed.
-    pub fn address_at(&self, server: ServerId) -> Option<AddressId> {
-        self.written.iter().find(|written| written.server == server).map(|written| written.address)
+    /// Where the request may have reached this node, whether or not the node is still there.
+    pub fn endpoint_at(&self, server: ServerId) -> Option<Endpoint> {
+        self.written.iter().find(|written| written.server == server).map(|written| written.endpoint)
     }
 
     /// From when on no attempt but the one written last may be written any more; `None` if there is no such time.
--- a/crates/proxy/tests/addresses.rs
+++ b/crates/proxy/tests/addresses.rs
@@ -233,6 +233,59 @@
     assert_write_stays_at_its_address(&[0, 1], &[&[2, 3]]);
 }
 
+/// A list entry of the node `s-0` with one address, whose process started at this Unix time.
+fn host_started_at(address: std::net::SocketAddr, started_ms: u64) -> Value {
+    let mut entry = host("s-0", address, "up");
+    entry["born_ms"] = json!(started_ms);
+    entry
+}
+
+/// Guards against a write that takes effect twice because a new process at the address of the node is taken for the one that
+/// may have carried it out.
+#[test]
+fn a_write_that_may_have_arrived_is_not_sent_to_a_new_process_at_the_same_address() {
+    let (node, discovery) = (Server::start(), Server::start());
+    let proxy = Proxy::operated(&Server::many(0), DEFAULT_OPERATOR, |c| {
+        c["known"] = list(41, true, &[host_started_at(node.addresses[0], 0)]);
+        subscribed(c, &discovery);
+    });
+    let mut watch = discovery.accept();
+    watch.request();
+    let mut client = proxy.client();
+    client.set(1, "put", 9_000, "v");
+    let (old_process, _) = node.command();
+    watch.list(&list(42, true, &[host_started_at(node.addresses[0], 1_000)]));
+    discovery.accept().request();
+    old_process.reset();
+    let answer = client.line();
+    assert!(answer.starts_with("-BUSY"), "{answer}");
+    assert!(node.is_untouched(), "sent to the new process");
+}
+
+/// Guards against new work for the process that a node has replaced, over a connection that was in use meanwhile.
+#[test]
+fn a_connection_to_the_process_before_a_restart_carries_nothing_new() {
+    let (node, discovery) = (Server::start(), Server::start());
+    let proxy = Proxy::operated(&Server::many(0), DEFAULT_OPERATOR, |c| {
+        c["known"] = list(41, true, &[host_started_at(node.addresses[0], 0)]);
+        subscribed(c, &discovery);
+    });
+    let mut watch = discovery.accept();
+    watch.request();
+    let mut client = proxy.client();
+    client.get(1, "read", 9_000);
+    let (mut old_process, _) = node.command();
+    watch.list(&list(42, true, &[host_started_at(node.addresses[0], 1_000)]));
+    discovery.accept().request();
+    old_process.send(hit("old"));
+    assert_eq!(client.command()[0], "old");
+    client.get(2, "read", 9_000);
+    let (mut new_process, _) = node.command();
+    new_process.send(hit("new"));
+    assert_eq!(client.command()[0], "new");
+    assert!(old_process.rest().is_empty());
+}
+
 /// Guards against a write that takes effect twice when its node leaves the list and returns at another address, whose
 /// identity must not be taken for that of the address before.
 #[test]
