An attempt that takes the place of another one waits for its own settle delay

Need: since a connection may wait longer before a write than before a read, an attempt that was queued in place of an abandoned one of the other kind was not due at the time that stood for the connection, and was never written (found by reading, before any caller saw it).

Change: a connection whose write is not due yet is put back with the time of its next attempt.

Result: the new test failed without the change (next write due: None in place of 9 ms) and passes with it.

--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -239,8 +239,9 @@
         self.connections.get(key).is_some_and(|c| c.pipeline.is_written((id, attempt)))
     }
 
-    /// Closes connections that have been idle too long, lead to a process that has been replaced, or have stalled within a reply. A stall comes from a reply that
-    /// is shorter than it states or has no end, or from a node that fails while it writes.
+    /// Closes connections that have been idle too long, lead to a process that has been replaced, or have stalled within a
+    /// reply. A stall comes from a reply that is shorter than it states or has no end, or from a node that fails while it
+    /// writes.
     pub fn sweep(&mut self, now: Nanos) {
         let elapsed =
             now.saturating_sub(std::mem::replace(&mut self.last_sweep, now)).min(MAX_DECAY_PER_SWEEP);
@@ -268,7 +269,7 @@
     use super::*;
     use crate::platform::config::tests::sample;
     use crate::platform::discovery::{Host, ListUpdate};
-    use crate::request::tests::query;
+    use crate::request::tests::{query, write_query};
     use addresses::Address;
     use calicosaddle::api::ServerEntry;
     use pipeline::{Pipeline, SettleDelay};
@@ -379,6 +380,28 @@
         }
     }
 
+    /// Guards against an attempt that is never written, as it took the place of one with an earlier end of its settle delay.
+    #[test]
+    fn an_attempt_is_written_at_the_end_of_its_own_settle_delay() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bind a listener");
+        let poll = mio::Poll::new().expect("create a poll");
+        let mut boxes = with_node(&listener, &poll);
+        let key = boxes.send(7, queued(&sample()), 0).expect("a connection for the attempt").0;
+        let _node = listener.accept().expect("accept").0;
+        (boxes.connections[key].connected, boxes.connections[key].pipeline) = (true, Pipeline::default());
+        let (read_at, write_at) = (5 * MS, 9 * MS);
+        boxes.connections[key].ready_at = [read_at, write_at];
+        assert!(boxes.send(7, queued(&sample()), 0).is_some());
+        assert_eq!(boxes.next_write_at(), Some(read_at));
+        let abandoned = AbandonedAttempt { sent_at: 0, timed_out: false };
+        assert!(boxes.cancel(key, 1, 0, abandoned, MS));
+        let write = QueuedAttempt { attempt: 1, query: write_query(&sample()), ..queued(&sample()) };
+        assert!(boxes.send(7, write, MS).is_some());
+        assert!(boxes.write_due(read_at));
+        assert_eq!((boxes.next_write_at(), boxes.attempts_written), (Some(write_at), 0));
+        assert!(boxes.write_due(write_at) && boxes.connections[key].pipeline.is_written((1, 1)));
+    }
+
     #[test]
     fn an_attempt_that_waits_for_a_slow_connect_takes_a_connection_that_becomes_idle() {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind a listener");
--- a/crates/proxy/src/boxes/write.rs
+++ b/crates/proxy/src/boxes/write.rs
@@ -87,9 +87,14 @@
     }
 
     fn check_and_flush(&mut self, key: usize, now: Nanos) {
-        let Some(c) = self.connections.get_mut(key).filter(|c| c.settling_until(now).is_none()) else {
+        let Some(c) = self.connections.get_mut(key) else { return };
+        if let Some(settled_at) = c.settling_until(now) {
+            // The attempt for which this write was due has gone, and the next one has to wait longer.
+            if c.write_queued {
+                self.settling.insert((settled_at, key));
+            }
             return;
-        };
+        }
         if !std::mem::take(&mut c.write_queued) {
             // The key has been reused for another connection, or the batch has already been written.
             return;
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -465,12 +465,21 @@
     use super::*;
     use resp::{CommandParser, MemoryBudget};
 
-    /// A read as a client sends it.
-    pub fn query(config: &Config) -> Rc<Query> {
+    fn parse(bytes: &[u8], config: &Config) -> Rc<Query> {
         let mut parser = CommandParser::new(MemoryBudget::new(0));
-        let bytes = b"*4\r\n$9\r\nCACHE.GET\r\n$1\r\n1\r\n$1\r\na\r\n$12\r\nc=read,d=500\r\n";
         let (_, command) = parser.feed(bytes).expect("a command");
-        Rc::new(Query::parse(command.expect("complete"), config).expect("a read"))
+        Rc::new(Query::parse(command.expect("complete"), config).expect("valid"))
+    }
+
+    /// A read as a client sends it.
+    pub fn query(config: &Config) -> Rc<Query> {
+        parse(b"*4\r\n$9\r\nCACHE.GET\r\n$1\r\n1\r\n$1\r\na\r\n$12\r\nc=read,d=500\r\n", config)
+    }
+
+    /// A write as a client sends it.
+    pub fn write_query(config: &Config) -> Rc<Query> {
+        let bytes = b"*5\r\n$9\r\nCACHE.SET\r\n$1\r\n1\r\n$1\r\nb\r\n$12\r\nc=read,d=500\r\n$1\r\nv\r\n";
+        parse(bytes, config)
     }
 
     #[test]
