--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -1,6 +1,8 @@
-//! Client connections: the listener, the parsing of commands, and the answers, in the order of the commands.
+//! Client connections: their commands, and the answers in the order of the commands.
 
+mod accept;
 mod answers;
+mod commands;
 mod memory;
 mod output;
 mod timeouts;
@@ -8,19 +10,17 @@
 mod waiting;
 
 use crate::platform::config::Config;
-use crate::request::{Query, ReplySlot, HALF_CLOSE_GRACE};
+use crate::request::{Query, ReplySlot};
 pub use answers::GivenAnswer;
 use calicosaddle::api::{Nanos, RequestId};
 use memory::AnswerMemory;
 use mio::net::{TcpListener, TcpStream};
-use mio::{Interest, Registry, Token};
 use output::OutputQueue;
-use resp::{Command, CommandParser, MemoryBudget, Protocol};
-use session::{CommandOutcome, Session, Users};
+use resp::{CommandParser, MemoryBudget, Protocol};
+use session::{Session, Users};
 use slab::Slab;
-use std::borrow::Cow;
 use std::collections::{BTreeSet, VecDeque};
-use std::io::{self, Read};
+use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
 use waiting::MemoryWait;
@@ -28,15 +28,6 @@
 const MS: Nanos = 1_000_000;
 /// The reply to a refused command. Nothing has been done for the command, so a retry is safe.
 const BUSY_REPLY: &[u8] = b"-BUSY\r\n";
-/// The maximum number of unanswered commands and queued answers of a client, per command that it may have open. The
-/// commands of a client with more are not read.
-const SLOTS_PER_OPEN_COMMAND: usize = 8;
-/// The maximum number of consecutive reads of a value before other connections are served. Commands, each of which takes
-/// time of its own, are read once.
-const MAX_READS: usize = 4;
-/// The maximum number of connections accepted in an iteration of the event loop.
-const MAX_ACCEPTS: usize = 64;
-
 /// The numbers of slots have this many bits for the commands of one connection; those above it are the connection's, so that
 /// an answer can't be taken for one to a client that has the same key later.
 const SLOT_NUMBER_BITS: u32 = 32;
@@ -145,6 +136,34 @@
 }
 
 impl Client {
+    /// A client that has just connected, the numbers of whose slots begin at `first_slot`.
+    fn new(stream: TcpStream, parser: CommandParser, session: Session, first_slot: u64, now: Nanos) -> Self {
+        Client {
+            stream,
+            parser,
+            session,
+            slots: VecDeque::new(),
+            first_slot,
+            output: OutputQueue::default(),
+            queued_bytes: 0,
+            reserved_bytes: 0,
+            accounted_bytes: 0,
+            dirty: false,
+            partial_since: None,
+            active_at: now,
+            blocked_since: None,
+            awaiting_first_command_since: Some(now),
+            request_count: 0,
+            ended_at: None,
+            eof: false,
+            closing: false,
+            lingering_since: None,
+            read_suspended: false,
+            pending: Vec::new(),
+            memory_wait: None,
+        }
+    }
+
     /// The number of bytes of answers that have not been written to its socket.
     fn unread_bytes(&self) -> usize {
         self.output.unwritten_bytes() + self.queued_bytes
@@ -229,20 +248,6 @@
         }
     }
 
-    /// Starts to listen, for the first time or again after [`Clients::stop`].
-    ///
-    /// # Errors
-    /// The socket can't be opened or registered.
-    pub fn listen(&mut self, registry: &Registry, token: Token) -> io::Result<()> {
-        let mut listener = match &self.inherited {
-            Some(socket) => TcpListener::from_std(socket.try_clone()?),
-            None => super::bind(self.address)?,
-        };
-        registry.register(&mut listener, token, Interest::READABLE)?;
-        (self.listener, self.stopping) = (Some(listener), false);
-        Ok(())
-    }
-
     /// The number of connections.
     pub fn count(&self) -> usize {
         self.clients.len()
@@ -263,300 +268,6 @@
         !self.pending_reads.is_empty() || (self.accepting && self.can_accept())
     }
 
-    /// True if the connection limit is not reached, or an idle client can be evicted.
-    fn can_accept(&self) -> bool {
-        self.clients.len() < self.max_clients || self.clients.iter().any(|(_, c)| c.is_idle())
-    }
-
-    /// Records that the listener has connections to accept.
-    pub fn listener_ready(&mut self) {
-        self.accepting = true;
-    }
-
-    /// Accepts up to [`MAX_ACCEPTS`] connections. `max_clients` returns the maximum number of connections, given the
-    /// current number.
-    ///
-    /// # Errors
-    /// Descriptors or memory have run out.
-    pub fn accept(
-        &mut self,
-        registry: &Registry,
-        now: Nanos,
-        token: impl Fn(usize) -> Token,
-        mut max_clients: impl FnMut(usize) -> usize,
-    ) -> io::Result<()> {
-        for _ in 0..MAX_ACCEPTS {
-            if self.accepting {
-                self.max_clients = max_clients(self.clients.len());
-            }
-            // While all clients have open requests, new connections wait in the kernel.
-            if !self.accepting || !self.can_accept() {
-                return Ok(());
-            }
-            let Some(listener) = &self.listener else { return Ok(()) };
-            let mut stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.accepting = false;
-                    return Ok(());
-                }
-                Err(e)
-                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
-                {
-                    continue
-                }
-                Err(e) => {
-                    self.accepting = false;
-                    return Err(e);
-                }
-            };
-            let _ = stream.set_nodelay(true);
-            if self.clients.len() >= self.max_clients {
-                self.evict();
-            }
-            let entry = self.clients.vacant_entry();
-            let key = entry.key();
-            let interest = Interest::READABLE | Interest::WRITABLE;
-            if let Err(e) = registry.register(&mut stream, token(key), interest) {
-                self.accepting = false;
-                return Err(e);
-            }
-            self.accepted_count += 1;
-            entry.insert(Client {
-                stream,
-                parser: CommandParser::new(self.value_memory.clone()),
-                session: Session::new(self.accepted_count, &self.users),
-                slots: VecDeque::new(),
-                first_slot: self.accepted_count << SLOT_NUMBER_BITS,
-                output: OutputQueue::default(),
-                queued_bytes: 0,
-                reserved_bytes: 0,
-                accounted_bytes: 0,
-                dirty: false,
-                partial_since: None,
-                active_at: now,
-                blocked_since: None,
-                awaiting_first_command_since: Some(now),
-                request_count: 0,
-                ended_at: None,
-                eof: false,
-                closing: false,
-                lingering_since: None,
-                read_suspended: false,
-                pending: Vec::new(),
-                memory_wait: None,
-            });
-        }
-        Ok(())
-    }
-
-    /// Closes an idle connection to make room: one that never sent a request, or else the one idle for longest. The
-    /// order keeps many connections that send nothing from evicting clients with requests.
-    fn evict(&mut self) {
-        let idle = self.clients.iter().filter(|(_, c)| c.is_idle());
-        let mut idle: Vec<(bool, Nanos, usize)> =
-            idle.map(|(key, c)| (c.request_count > 0, c.active_at, key)).collect();
-        idle.sort_unstable();
-        // Connections with unread input are skipped if possible: closing them would lose a command.
-        let closable =
-            idle.iter().find(|(_, _, key)| self.clients.get(*key).is_some_and(Client::is_closable));
-        if let Some((_, _, key)) = closable.or(idle.first()) {
-            self.remove(*key);
-        }
-    }
-
-    /// Takes the list of connections that may have unread input.
-    pub fn take_pending_reads(&mut self) -> BTreeSet<usize> {
-        std::mem::take(&mut self.pending_reads)
-    }
-
-    /// Reads the input of a connection: commands once, a value up to [`MAX_READS`] times. `closed` tells that the end of the
-    /// stream may follow.
-    pub fn read(&mut self, key: usize, closed: bool, config: &Config, buffer: &mut [u8], now: Nanos) {
-        let least = self.commands_read_limit();
-        for _ in 0..MAX_READS {
-            let may_be_read = self.may_be_read(key);
-            let Some(client) = self.clients.get_mut(key).filter(|c| !c.eof) else { return };
-            // A client that sends faster than it reads is slowed down by the socket buffers.
-            client.read_suspended = !may_be_read;
-            if client.read_suspended || client.parser.waits_for_memory() {
-                return;
-            }
-            // What a client sends after a protocol error is read and dropped: the end of the stream may stand behind it.
-            let is_dropped = client.lingering_since.is_some() || client.closing;
-            let limit =
-                if is_dropped { buffer.len() } else { client.parser.read_limit(least).min(buffer.len()) };
-            match client.stream.read(&mut buffer[..limit]) {
-                Ok(0) => {
-                    client.eof = true;
-                    self.end_of_input(key, now);
-                    return;
-                }
-                Ok(n) => {
-                    client.active_at = now;
-                    if !is_dropped {
-                        self.parse_input(key, &buffer[..n], config, now);
-                    }
-                    // A short read has emptied the socket, except for a possible end of the stream.
-                    if n < limit && !closed {
-                        self.has_caught_up(key);
-                        return;
-                    }
-                    if !self.clients.get(key).is_some_and(|c| c.parser.in_value()) {
-                        break;
-                    }
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.has_caught_up(key);
-                    return;
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
-                    self.remove(key);
-                    return;
-                }
-            }
-        }
-        self.pending_reads.insert(key);
-    }
-
-    /// Handles the end of a client's input, all of which has been read.
-    fn end_of_input(&mut self, key: usize, now: Nanos) {
-        let Some(client) = self.clients.get(key) else { return };
-        if client.slots.is_empty() && client.unread_bytes() == 0 {
-            self.remove(key);
-            return;
-        }
-        self.half_closed(key, now);
-    }
-
-    /// Handles that a client has closed its sending side, as soon as that is known: some of its input may be unread.
-    fn half_closed(&mut self, key: usize, now: Nanos) {
-        let Some(client) = self.clients.get_mut(key).filter(|c| c.ended_at.is_none()) else { return };
-        client.ended_at = Some(now);
-        for slot in &client.slots {
-            if let Slot::Waiting(waiting) = slot {
-                self.events.push_back(ClientEvent::HalfClosed(waiting.id, now));
-            }
-        }
-    }
-
-    /// Closes a connection that has failed, whether or not its input is read.
-    pub fn connection_failed(&mut self, key: usize) {
-        self.remove(key);
-    }
-
-    /// Parses input and handles each complete command.
-    fn parse_input(&mut self, key: usize, mut input: &[u8], config: &Config, now: Nanos) {
-        while !input.is_empty() {
-            // Input after a command that closes the connection is ignored.
-            let Some(client) = self.clients.get_mut(key).filter(|c| !c.closing) else { return };
-            match client.parser.feed(input) {
-                Ok((used, command)) => {
-                    input = &input[used..];
-                    client.partial_since = match command {
-                        None if client.parser.in_progress() => client.partial_since.or(Some(now)),
-                        _ => None,
-                    };
-                    if client.parser.waits_for_memory() {
-                        client.pending.extend_from_slice(input);
-                        let begin = || MemoryWait::begin(&client.parser, config, now);
-                        client.memory_wait.get_or_insert_with(begin);
-                        self.waiting_for_memory.push_back(key);
-                        return;
-                    }
-                    if let Some(command) = command {
-                        self.handle_command(key, command, config, now);
-                    }
-                }
-                Err(e) => {
-                    let error = format!("-ERR Protocol error: {}\r\n", e.0);
-                    client.closing = true;
-                    self.answer_directly(key, error.as_bytes());
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Whether a client's commands are read: it has room for more answers.
-    fn may_be_read(&self, key: usize) -> bool {
-        let max_slots = SLOTS_PER_OPEN_COMMAND * self.max_open_commands;
-        let unread_limit = self.answer_memory.unread_limit();
-        let has_room = |c: &Client| c.unread_bytes() <= unread_limit && c.slots.len() < max_slots;
-        self.clients.get(key).is_some_and(has_room)
-    }
-
-    fn handle_command(&mut self, key: usize, command: Command, config: &Config, now: Nanos) {
-        let Some(client) = self.clients.get_mut(key) else { return };
-        if let CommandOutcome::Answer(answer) = client.session.handle(&command, &self.users) {
-            if answer.accepted {
-                client.awaiting_first_command_since = None;
-            }
-            client.closing |= answer.close;
-            self.wrong_passwords += u64::from(answer.wrong_password);
-            self.answer_directly(key, &answer.bytes);
-            return;
-        }
-        let memory_wait = client.memory_wait.take();
-        // The client may have left long ago: the end of its stream could not be seen while the value waited.
-        let has_left = (memory_wait.is_some() && client.is_at_end_of_input())
-            || client.ended_at.is_some_and(|at| at + HALF_CLOSE_GRACE <= now);
-        let may_be_sent = command.is_complete() && !has_left && client.slots.len() < self.max_open_commands;
-        let query = Query::parse(command, config).map_err(Cow::from).and_then(|query| {
-            client.session.check_tenant(query.tenant, &self.users).map_err(Cow::from).map(|()| query)
-        });
-        let query = match query {
-            Ok(query) => query,
-            Err(answer) => return self.answer_directly(key, answer.as_bytes()),
-        };
-        let reserved = self.clients.get(key).and_then(|client| self.reservation(client, query.class));
-        match reserved.filter(|_| may_be_sent) {
-            Some(reserved) => self.open_request(key, query, reserved, memory_wait, config),
-            None => {
-                // Nothing has been done for the command yet, so refusing it is safe.
-                self.events.push_back(ClientEvent::Rejected(query.class));
-                self.answer_directly(key, BUSY_REPLY);
-            }
-        }
-    }
-
-    /// Makes a command a request, with the memory that is reserved for its answer.
-    fn open_request(
-        &mut self,
-        key: usize,
-        query: Query,
-        reserved: usize,
-        memory_wait: Option<MemoryWait>,
-        config: &Config,
-    ) {
-        let Some(client) = self.clients.get_mut(key) else { return };
-        let class = config.settings.classes.get(query.class as usize);
-        let id = self.next_id;
-        self.next_id += 1;
-        let number = client.first_slot + client.slots.len() as u64;
-        client.slots.push_back(Slot::Waiting(WaitingSlot {
-            id,
-            protocol: client.session.protocol(),
-            class: query.class,
-            reserved,
-            may_be_refused: class.is_some_and(|class| class.may_be_refused(true)),
-        }));
-        client.reserved_bytes += reserved;
-        client.awaiting_first_command_since = None;
-        client.request_count = (client.request_count + 1).min(2);
-        self.events.push_back(ClientEvent::Query {
-            id,
-            slot: ReplySlot { client: key, number },
-            query: Rc::new(query),
-            delayed_since: memory_wait.map(|wait| wait.since),
-        });
-        if let Some(ended_at) = client.ended_at {
-            self.events.push_back(ClientEvent::HalfClosed(id, ended_at));
-        }
-        self.account(key);
-    }
-
     /// Closes our sending side between requests, and waits up to [`LINGER_TIMEOUT`] for the client to close its own.
     fn linger(&mut self, key: usize, now: Nanos) {
         let Some(client) = self.clients.get_mut(key).filter(|c| c.lingering_since.is_none()) else { return };
@@ -610,7 +321,8 @@
     use super::*;
     use crate::platform::config::tests::sample;
     use crate::request::Answer;
-    use std::io::Write;
+    use mio::Token;
+    use std::io::{Read, Write};
     use std::time::{Duration, Instant};
 
     #[test]
--- a/crates/proxy/tests/addresses.rs
+++ b/crates/proxy/tests/addresses.rs
@@ -11,6 +11,36 @@
 use testkit::process::Folder;
 use testkit::scripted::*;
 
+/// A proxy that subscribes to a discovery, and the watch that is open there.
+struct Subscribed {
+    proxy: Proxy,
+    discovery: Server,
+    watch: Peer,
+    version: u64,
+}
+
+impl Subscribed {
+    /// Starts a proxy that knows these nodes.
+    fn start(known: &[Value]) -> Subscribed {
+        let (discovery, version) = (Server::start(), 41);
+        let proxy = Proxy::operated(&Server::many(0), DEFAULT_OPERATOR, |c| {
+            c["known"] = list(version, true, known);
+            subscribed(c, &discovery);
+        });
+        let mut watch = discovery.accept();
+        watch.request();
+        Subscribed { proxy, discovery, watch, version }
+    }
+
+    /// Sends a whole list, and waits for the next call, which shows that the list is in force.
+    fn send_list(&mut self, hosts: &[Value]) {
+        self.version += 1;
+        self.watch.list(&list(self.version, true, hosts));
+        self.watch = self.discovery.accept();
+        self.watch.request();
+    }
+}
+
 /// Returns a list entry for a node with these addresses.
 fn host_with_addresses(name: &str, dials: &[String]) -> Value {
     let mut entry = host(name, unused_address(), "up");
@@ -194,21 +224,13 @@
         let dials: Vec<String> = addresses.iter().map(|at| node.addresses[*at].to_string()).collect();
         host_with_addresses("s-0", &dials)
     };
-    let discovery = Server::start();
-    let proxy = Proxy::operated(&Server::many(0), DEFAULT_OPERATOR, |c| {
-        c["known"] = list(41, true, &[entry(listed)]);
-        subscribed(c, &discovery);
-    });
-    let mut watch = discovery.accept();
-    watch.request();
-    let mut client = proxy.client();
+    let mut subscribed = Subscribed::start(&[entry(listed)]);
+    let mut client = subscribed.proxy.client();
     client.set(1, "put", 9_000, "v");
     let (at_node, _) = node.command();
     assert_eq!(at_node.at, listed[0]);
-    for (version, addresses) in (42..).zip(later_lists) {
-        watch.list(&list(version, true, &[entry(addresses)]));
-        watch = discovery.accept();
-        watch.request();
+    for addresses in later_lists {
+        subscribed.send_list(&[entry(addresses)]);
     }
     at_node.reset();
     let answer = client.line();
@@ -244,18 +266,12 @@
 /// may have carried it out.
 #[test]
 fn a_write_that_may_have_arrived_is_not_sent_to_a_new_process_at_the_same_address() {
-    let (node, discovery) = (Server::start(), Server::start());
-    let proxy = Proxy::operated(&Server::many(0), DEFAULT_OPERATOR, |c| {
-        c["known"] = list(41, true, &[host_started_at(node.addresses[0], 0)]);
-        subscribed(c, &discovery);
-    });
-    let mut watch = discovery.accept();
-    watch.request();
-    let mut client = proxy.client();
+    let node = Server::start();
+    let mut subscribed = Subscribed::start(&[host_started_at(node.addresses[0], 0)]);
+    let mut client = subscribed.proxy.client();
     client.set(1, "put", 9_000, "v");
     let (old_process, _) = node.command();
-    watch.list(&list(42, true, &[host_started_at(node.addresses[0], 1_000)]));
-    discovery.accept().request();
+    subscribed.send_list(&[host_started_at(node.addresses[0], 1_000)]);
     old_process.reset();
     let answer = client.line();
     assert!(answer.starts_with("-BUSY"), "{answer}");
@@ -265,18 +281,12 @@
 /// Guards against new work for the process that a node has replaced, over a connection that was in use meanwhile.
 #[test]
 fn a_connection_to_the_process_before_a_restart_carries_nothing_new() {
-    let (node, discovery) = (Server::start(), Server::start());
-    let proxy = Proxy::operated(&Server::many(0), DEFAULT_OPERATOR, |c| {
-        c["known"] = list(41, true, &[host_started_at(node.addresses[0], 0)]);
-        subscribed(c, &discovery);
-    });
-    let mut watch = discovery.accept();
-    watch.request();
-    let mut client = proxy.client();
+    let node = Server::start();
+    let mut subscribed = Subscribed::start(&[host_started_at(node.addresses[0], 0)]);
+    let mut client = subscribed.proxy.client();
     client.get(1, "read", 9_000);
     let (mut old_process, _) = node.command();
-    watch.list(&list(42, true, &[host_started_at(node.addresses[0], 1_000)]));
-    discovery.accept().request();
+    subscribed.send_list(&[host_started_at(node.addresses[0], 1_000)]);
     old_process.send(hit("old"));
     assert_eq!(client.command()[0], "old");
     client.get(2, "read", 9_000);
@@ -290,27 +300,19 @@
 /// identity must not be taken for that of the address before.
 #[test]
 fn a_write_that_may_have_arrived_stays_at_its_address_when_its_node_leaves_and_returns_elsewhere() {
-    let (nodes, returned, discovery) = (Server::many(2), Server::start(), Server::start());
+    let (nodes, returned) = (Server::many(2), Server::start());
     let entry = |at: usize| host_with_addresses(&format!("s-{at}"), &[nodes.addresses[at].to_string()]);
-    let proxy = Proxy::operated(&Server::many(0), DEFAULT_OPERATOR, |c| {
-        c["known"] = list(41, true, &[entry(0), entry(1)]);
-        subscribed(c, &discovery);
-    });
-    let mut watch = discovery.accept();
-    watch.request();
-    let mut client = proxy.client();
+    let mut subscribed = Subscribed::start(&[entry(0), entry(1)]);
+    let mut client = subscribed.proxy.client();
     client.set(1, "put", 9_000, "v");
     let (first, _) = nodes.command();
     let (left, stays) = (first.at, 1 - first.at);
-    watch.list(&list(42, true, &[entry(stays)]));
-    watch = discovery.accept();
-    watch.request();
+    subscribed.send_list(&[entry(stays)]);
     first.reset();
     let (second, _) = nodes.command();
     assert_eq!(second.at, stays);
     let elsewhere = host_with_addresses(&format!("s-{left}"), &[returned.addresses[0].to_string()]);
-    watch.list(&list(43, true, &[entry(stays), elsewhere]));
-    discovery.accept().request();
+    subscribed.send_list(&[entry(stays), elsewhere]);
     second.reset();
     // The node that stays may get the write again, over the address that it had.
     let (mut peers, started) = (Vec::new(), Instant::now());
