Answers: one chunk leaves in a plain write; encoding in one place

Need: the common case is a single chunk, for which a vectored write allocates a list for nothing; encoding an answer and choosing what fits stood in one long function.

Change: a plain write for one chunk; encoded() serves answers and values; reservations are taken back by the client itself. No change of behaviour.

--- a/crates/proxy/src/front/clients/answers.rs
+++ b/crates/proxy/src/front/clients/answers.rs
@@ -1,8 +1,9 @@
 //! Answers to commands: kept in the order of the commands, and written as far as sockets accept them.
 
-use super::{ClientEvent, Clients, Slot, WaitingSlot, BUSY_REPLY};
+use super::{ClientEvent, Clients, Slot, WaitingSlot};
 use crate::request::{Answer, ReplySlot};
 use calicosaddle::api::Nanos;
+use resp::Protocol;
 use std::io;
 
 /// What a client was given as the answer to its request.
@@ -16,6 +17,13 @@
     Failed,
 }
 
+/// The bytes of an answer.
+pub(super) fn encoded(answer: &Answer<'_>, protocol: Protocol) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    answer.write(protocol, &mut bytes);
+    bytes
+}
+
 impl Clients {
     /// Answers the last parsed command without making it a request.
     pub(super) fn answer_directly(&mut self, key: usize, answer: &[u8]) {
@@ -32,24 +40,16 @@
         else {
             return GivenAnswer::Unchanged;
         };
-        let reserved = Clients::take_reservation(client, position);
-        let mut bytes = Vec::new();
-        answer.write(protocol, &mut bytes);
-        let is_served = matches!(answer, Answer::Served(..));
-        if is_served {
+        let reserved = client.take_reservation(position);
+        let mut bytes = encoded(answer, protocol);
+        let mut given = GivenAnswer::Unchanged;
+        if matches!(answer, Answer::Served(..)) {
             self.answer_memory.sizes.record(class, bytes.len());
-        }
-        let given = match (self.fits(bytes.len(), reserved) || !is_served, may_be_refused) {
-            (true, _) => GivenAnswer::Unchanged,
-            (false, true) => GivenAnswer::Refused,
-            (false, false) => GivenAnswer::Failed,
-        };
-        match given {
-            GivenAnswer::Unchanged => {}
-            GivenAnswer::Refused => bytes = BUSY_REPLY.to_vec(),
-            GivenAnswer::Failed => {
-                bytes = Vec::new();
-                Answer::Failed.write(protocol, &mut bytes);
+            if !self.fits(bytes.len(), reserved) {
+                (given, bytes) = match may_be_refused {
+                    true => (GivenAnswer::Refused, encoded(&Answer::Busy(0), protocol)),
+                    false => (GivenAnswer::Failed, encoded(&Answer::Failed, protocol)),
+                };
             }
         }
         if let Some((client, position)) = self.find_slot(slot) {
--- a/crates/proxy/src/front/clients/memory.rs
+++ b/crates/proxy/src/front/clients/memory.rs
@@ -94,6 +94,14 @@
         let slots = self.slots.len() * SLOT_BYTES;
         self.output.held_bytes() + self.queued_bytes + self.reserved_bytes + slots
     }
+
+    /// Takes back what was reserved for the answer in a slot; returns how much that was.
+    pub(super) fn take_reservation(&mut self, position: usize) -> usize {
+        let Some(Slot::Waiting(waiting)) = self.slots.get_mut(position) else { return 0 };
+        let reserved = std::mem::take(&mut waiting.reserved);
+        self.reserved_bytes -= reserved;
+        reserved
+    }
 }
 
 impl Clients {
@@ -135,12 +143,4 @@
     pub fn node_read_limit(&self) -> usize {
         self.answer_memory.value_share()
     }
-
-    /// Takes back what was reserved for the answer in a slot.
-    pub(super) fn take_reservation(client: &mut Client, position: usize) -> usize {
-        let Some(Slot::Waiting(waiting)) = client.slots.get_mut(position) else { return 0 };
-        let reserved = std::mem::take(&mut waiting.reserved);
-        client.reserved_bytes -= reserved;
-        reserved
-    }
 }
--- a/crates/proxy/src/front/clients/output.rs
+++ b/crates/proxy/src/front/clients/output.rs
@@ -56,16 +56,21 @@
     /// # Errors
     /// Those of the socket.
     pub(super) fn write_to(&mut self, socket: &mut impl Write) -> io::Result<usize> {
-        let mut skipped = self.written;
-        let mut slices = Vec::with_capacity(self.chunks.len().min(CHUNKS_PER_WRITE));
-        for chunk in self.chunks.iter().take(CHUNKS_PER_WRITE) {
-            slices.push(IoSlice::new(&chunk[std::mem::take(&mut skipped)..]));
-        }
-        let count = socket.write_vectored(&slices)?;
+        let count = match self.chunks.front() {
+            Some(only) if self.chunks.len() == 1 => socket.write(&only[self.written..])?,
+            _ => socket.write_vectored(&self.slices())?,
+        };
         self.record_written(count);
         Ok(count)
     }
 
+    /// The unwritten parts of the first chunks.
+    fn slices(&self) -> Vec<IoSlice<'_>> {
+        let mut skipped = self.written;
+        let first = self.chunks.iter().take(CHUNKS_PER_WRITE);
+        first.map(|chunk| IoSlice::new(&chunk[std::mem::take(&mut skipped)..])).collect()
+    }
+
     fn record_written(&mut self, count: usize) {
         self.written += count;
         while let Some(first) = self.chunks.front().map(Vec::len).filter(|first| *first <= self.written) {
--- a/crates/proxy/src/front/clients/values.rs
+++ b/crates/proxy/src/front/clients/values.rs
@@ -1,5 +1,6 @@
 //! Long values that are streamed to clients as the answers to their requests.
 
+use super::answers::encoded;
 use super::{Client, Clients, Slot, WaitingSlot};
 use crate::request::{Answer, ReplySlot};
 use resp::{BodyFormat, Reply};
@@ -16,7 +17,7 @@
     pub fn begin_value(&mut self, slot: ReplySlot, format: BodyFormat, length: usize) {
         let Some((client, position)) = self.find_slot(slot) else { return };
         let Slot::Waiting(WaitingSlot { id, protocol, class, .. }) = client.slots[position] else { return };
-        Clients::take_reservation(client, position);
+        client.take_reservation(position);
         let mut head = Vec::new();
         Reply::write_head(format, length, protocol, &mut head);
         client.slots[position] = Slot::Streaming { id, protocol, queued: Vec::new(), paused: false };
@@ -67,8 +68,7 @@
             self.end_after_output(slot.client);
             return;
         }
-        let mut failure = Vec::new();
-        Answer::Failed.write(*protocol, &mut failure);
+        let failure = encoded(&Answer::Failed, *protocol);
         client.queued_bytes -= queued.len();
         client.queued_bytes += failure.len();
         client.slots[position] = Slot::Ready(failure);
