--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -3,6 +3,7 @@
 use serde_json::json;
 use std::io::Write;
 use std::net::Shutdown;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use testkit::scripted::*;
 
@@ -171,3 +172,40 @@
     peers[at].send(hit("short"));
     assert_eq!(later.command()[0], "short");
 }
+
+/// Guards against requests that are read and sent long after their client has closed its connection behind them.
+#[test]
+fn many_requests_of_a_client_that_has_left_are_not_sent_on_afterwards() {
+    const REQUESTS: usize = 3_000;
+    /// An attempt may begin this long after the close, with the protocol's tolerance.
+    const GRACE: Duration = Duration::from_millis(100 + 50);
+    for resets in [false, true] {
+        let received: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let mut nodes = Server::many(0);
+        for _ in 0..8 {
+            let received = received.clone();
+            nodes.addresses.push(answering(move |_| {
+                received.lock().expect("lock not poisoned").push(Instant::now());
+                std::thread::sleep(Duration::from_millis(40));
+                Some(hit(&"v".repeat(20_000)))
+            }));
+        }
+        let proxy = Proxy::start(&nodes);
+        let mut client = proxy.client();
+        let read = |i: usize| {
+            encode(&["CACHE.GET", &format!("{i:x}"), &format!("many-{resets}-{i}"), "c=read,d=15000"])
+        };
+        client.send((0..REQUESTS).flat_map(read).collect::<Vec<u8>>());
+        std::thread::sleep(Duration::from_millis(20));
+        match resets {
+            true => client.reset(),
+            false => drop(client),
+        }
+        let closed = Instant::now();
+        std::thread::sleep(Duration::from_millis(1_500));
+        let received = received.lock().expect("lock not poisoned");
+        let latest = received.iter().map(|at| at.saturating_duration_since(closed)).max().unwrap_or_default();
+        assert!(latest <= GRACE, "resets {resets}: sent {latest:?} after the close");
+        drop(proxy);
+    }
+}
