Tests: a program is copied while no other thread starts one

Cause: a_socket_without_permission_for_this_user_is_skipped failed once beside eight busy processes: "Text file busy". A child that another thread's test was starting held the copy of the program open for writing, and the kernel refuses to run such a file. The other test that runs a copy (control.rs) has the same race.

Change: testkit::copy_program copies under the lock under which programs are started. The tests check what they checked.

Result: the tests of addresses.rs passed 15 of 15 times beside eight busy processes (with the change in that test).

--- a/crates/proxy/tests/addresses.rs
+++ b/crates/proxy/tests/addresses.rs
@@ -541,7 +541,7 @@
     let folder = Folder::new("rights").expect("a folder");
     set_mode(&folder.0, 0o755);
     let (program, path) = (folder.0.join("trestlesill"), folder.0.join("box.sock"));
-    std::fs::copy(testkit::program("trestlesill"), &program).expect("copied");
+    testkit::copy_program(&testkit::program("trestlesill"), &program).expect("copied");
     set_mode(&program, 0o755);
     let _closed = UnixNode::start(path.clone(), "closed");
     set_mode(&path, 0);
--- a/crates/proxy/tests/control.rs
+++ b/crates/proxy/tests/control.rs
@@ -449,7 +449,7 @@
     let node = Server::start();
     // A copy that the other user can execute.
     let binary = scratch("test-binary");
-    std::fs::copy(std::env::current_exe().expect("a path"), &binary).expect("copied");
+    testkit::copy_program(&std::env::current_exe().expect("a path"), &binary).expect("copied");
     std::fs::set_permissions(&binary, std::fs::Permissions::from_mode(0o755)).expect("set");
     for (allowed, reply) in [("[]", "reply: None"), ("[65534]", "reply: Some(")] {
         let socket = scratch("control.sock");
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod world;
 
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -31,6 +31,18 @@
     command.spawn()
 }
 
+/// Copies a program that is to be run, while no other thread starts one.
+///
+/// Without the lock a child that is being started holds the copy open for writing, and the kernel refuses to run it
+/// (ETXTBSY, execve(2)).
+///
+/// # Errors
+/// The program can't be read, or the copy can't be written.
+pub fn copy_program(program: &Path, copy: &Path) -> io::Result<()> {
+    let _guard = lock_process_spawn();
+    std::fs::copy(program, copy).map(|_| ())
+}
+
 /// Returns the path of a program of this workspace: in the directory of the running program, or one level above it for a
 /// test.
 ///
