--- a/crates/proxy/src/front/clients/memory.rs
+++ b/crates/proxy/src/front/clients/memory.rs
@@ -122,9 +122,7 @@
     /// has some already gets no more than it leaves to others.
     pub(super) fn reservation(&self, client: &Client, class: u32) -> Option<usize> {
         let expected = self.answer_memory.sizes.expected(class);
-        let has_answers = !client.slots.is_empty() || client.output.unwritten_bytes() > 0;
-        let wanted = if has_answers { client.used_bytes() + expected } else { expected };
-        (wanted <= self.answer_memory.free()).then_some(expected)
+        (client.used_bytes() + expected <= self.answer_memory.free()).then_some(expected)
     }
 
     /// Whether an answer of this size fits in place of what was reserved for it.
