Replies that arrive in part have a memory budget, which leaves room for connections

Cause: what has arrived of a reply was in no budget, so only the number of connections to nodes bounded it.

Change: a budget for incomplete replies on the ledger that values of commands use. A connection is read no further than its reply has room for; the rest waits in the socket; the oldest reply has priority. A time-out of a reply that waits for this process says nothing about its node. All budgets are divided in one module, which leaves memory for the process and its descriptors.

Why it works: each byte of a reply beyond the first KiB of a connection is taken from the ledger before it is read. All tests of resp and the proxy pass.

--- a/crates/proxy/src/boxes/connection.rs
+++ b/crates/proxy/src/boxes/connection.rs
@@ -6,7 +6,7 @@
 use addresses::ConnectionRace;
 use calicosaddle::api::{Nanos, RequestId, ServerId};
 use pipeline::{Command, CommandKind, ForeignReplyDetector, Pipeline, ReplyArrival, SettleDelay};
-use resp::{HelloReplyParser, Protocol, ReplyReader};
+use resp::{HelloReplyParser, Protocol, ReplyReader, Reservation};
 use std::rc::Rc;
 
 /// An attempt that waits to be written.
@@ -89,6 +89,10 @@
     pub reader: ReplyReader,
     /// Bytes of the reply being read.
     pub reply_bytes: Vec<u8>,
+    /// The memory of an incomplete reply.
+    pub reply_reservation: Option<Reservation>,
+    /// It is not read until there is memory for more of its reply.
+    pub waits_for_memory: bool,
     /// When it last carried a command or a reply; pushes between replies don't count.
     pub last_active: Nanos,
     /// When it was last read from.
@@ -130,6 +134,11 @@
         self.reader.in_progress() || self.hello_reply.as_ref().is_some_and(HelloReplyParser::in_progress)
     }
 
+    /// The memory that an incomplete reply takes, in bytes.
+    pub fn buffered_reply_bytes(&self) -> usize {
+        self.reply_bytes.capacity() + self.reader.buffered_bytes()
+    }
+
     /// It uses RESP3.
     pub fn uses_resp3(&self) -> bool {
         self.reader.protocol() == Protocol::Three
--- a/crates/proxy/src/boxes/dial.rs
+++ b/crates/proxy/src/boxes/dial.rs
@@ -80,6 +80,8 @@
             hello_reply: None,
             reader: ReplyReader::new(Protocol::Two),
             reply_bytes: Vec::new(),
+            reply_reservation: None,
+            waits_for_memory: false,
             last_active: now,
             last_read: now,
             has_unread: false,
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -11,6 +11,7 @@
 mod node;
 mod placement;
 mod read;
+mod reply_memory;
 mod settings;
 mod socket;
 mod status;
@@ -28,6 +29,7 @@
 use mio::Registry;
 use node::Node;
 use pipeline::{BoxLatencies, PipelineConfig, ValueVariety};
+use reply_memory::ReplyMemory;
 use resp::{BodyFormat, Frame, Reply};
 use rustc_hash::{FxHashMap, FxHashSet};
 pub use settings::{hello_command, pipeline_config};
@@ -49,7 +51,7 @@
 /// second time.
 const LONG_VALUE_STALL_TIMEOUT: Nanos = 5_000 * MS;
 /// The maximum capacity that the write buffer of an idle connection keeps allocated.
-const MAX_IDLE_BUFFER_BYTES: usize = 4 << 10;
+const MAX_IDLE_BUFFER_BYTES: usize = 1 << 10;
 /// The most time by which one sweep decays the idle-time statistics.
 const MAX_DECAY_PER_SWEEP: Nanos = 1_000 * MS;
 
@@ -139,19 +141,22 @@
     idle_outcomes: IdleOutcomes,
     last_sweep: Nanos,
     events: VecDeque<NodeEvent>,
+    /// The memory for incomplete replies.
+    reply_memory: ReplyMemory,
     /// Connections that may have input without a further readiness event.
     unread: BTreeSet<usize>,
 }
 
 impl Boxes {
     /// Creates the set without nodes. Connections hold at most `descriptor_limit` descriptors and are opened with
-    /// `hello` if there is one.
+    /// `hello` if there is one. Incomplete replies may take `reply_bytes`.
     pub fn new(
         config: &Config,
         descriptor_limit: usize,
         registry: Registry,
         options: &operator::Operator,
         hello: Option<Vec<u8>>,
+        reply_bytes: usize,
     ) -> Self {
         let mut boxes = Boxes {
             nodes: FxHashMap::default(),
@@ -163,6 +168,7 @@
             connections: Slab::new(),
             last_serial: 0,
             attempts_written: 0,
+            reply_memory: ReplyMemory::new(reply_bytes, hello.is_some()),
             hello,
             max_per_node: 1,
             descriptor_limit,
@@ -256,7 +262,10 @@
             let idle = now.saturating_sub(c.last_active);
             let timeout = if c.streaming { LONG_VALUE_STALL_TIMEOUT } else { REPLY_STALL_TIMEOUT };
             (c.depth() == 0 && c.connected && (idle >= self.idle_limit || is_replaced(c)))
-                || (c.mid_reply() && !c.paused && now.saturating_sub(c.last_read) >= timeout)
+                || (c.mid_reply()
+                    && !c.paused
+                    && !c.waits_for_memory
+                    && now.saturating_sub(c.last_read) >= timeout)
         };
         let expired = self.connections.iter().filter(|(_, c)| is_expired(c)).map(|(key, _)| key);
         let expired: Vec<usize> = expired.collect();
--- a/crates/proxy/src/boxes/read.rs
+++ b/crates/proxy/src/boxes/read.rs
@@ -91,8 +91,12 @@
     /// Reads received bytes, up to a bound.
     pub(super) fn read(&mut self, key: usize, closed: bool, buffer: &mut [u8], now: Nanos) {
         for _ in 0..MAX_READS_PER_TURN {
-            let Some(c) = self.connections.get_mut(key).filter(|c| !c.paused) else { return };
-            match c.link.socket.read(buffer) {
+            if self.connections.get(key).is_none_or(|c| c.paused) {
+                return;
+            }
+            let Some(limit) = self.reply_read_limit(key, buffer.len()) else { return };
+            let Some(c) = self.connections.get_mut(key) else { return };
+            match c.link.socket.read(&mut buffer[..limit]) {
                 Ok(0) => {
                     self.connection_lost(key, now);
                     return;
@@ -106,12 +110,13 @@
                         self.close_unsolicited(key, now);
                         return;
                     }
+                    self.account_reply(key);
                     if self.connections.get(key).is_some_and(|c| c.streaming) {
                         // The client's remaining buffer space is known once these bytes have been passed on.
                         break;
                     }
                     // A short read has emptied the socket; only an end of stream can follow.
-                    if n < buffer.len() && !closed {
+                    if n < limit && !closed {
                         return;
                     }
                 }
@@ -150,6 +155,7 @@
                 return true;
             };
             if !resp3 && head != Some(None) && !matches!(message, Some(ServerMessage::Part(_))) {
+                c.reply_bytes.reserve_exact(used);
                 c.reply_bytes.extend_from_slice(&input[..used]);
             }
             input = &input[used..];
@@ -287,7 +293,7 @@
             }
         }
         let c = self.connections.get_mut(key)?;
-        c.reply_bytes.clear();
+        c.reply_bytes = Vec::new();
         if let Some((id, attempt)) = c.pipeline.head().flatten() {
             if let Some((shape, length)) = part.head {
                 c.streaming = true;
--- a/crates/proxy/src/boxes/tests.rs
+++ b/crates/proxy/src/boxes/tests.rs
@@ -13,7 +13,7 @@
 
 fn empty(config: &Config, poll: &mio::Poll) -> Boxes {
     let registry = poll.registry().try_clone().expect("clone the registry");
-    Boxes::new(config, 8, registry, &operator::Operator::default(), None)
+    Boxes::new(config, 8, registry, &operator::Operator::default(), None, 1 << 20)
 }
 
 fn host(entry: ServerEntry, listener: &TcpListener) -> Host {
--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -9,6 +9,7 @@
 mod values;
 mod waiting;
 
+use crate::memory_limits::MemoryLimits;
 use crate::platform::config::Config;
 use crate::request::{Query, ReplySlot};
 pub use answers::GivenAnswer;
@@ -217,12 +218,13 @@
 
 impl Clients {
     /// Creates a collection without clients, which accepts up to `max_clients` connections with up to
-    /// `max_open_commands` open commands each. Long values of commands may take `memory` bytes, and answers as many. [`Clients::listen`] listens at `address`, or at the socket that the platform owns.
+    /// `max_open_commands` open commands each, within these budgets. [`Clients::listen`] listens at `address`, or at the
+    /// socket that the platform owns.
     pub fn new(
         address: SocketAddr,
         inherited: Option<std::net::TcpListener>,
         max_clients: usize,
-        memory: usize,
+        memory: MemoryLimits,
         users: Users,
         max_open_commands: usize,
     ) -> Self {
@@ -237,8 +239,8 @@
             next_id: 1,
             max_clients,
             max_open_commands,
-            value_memory: MemoryBudget::new(memory),
-            answer_memory: AnswerMemory::new(memory),
+            value_memory: MemoryBudget::new(memory.values),
+            answer_memory: AnswerMemory::new(memory.answers),
             accepting: false,
             stopping: false,
             dirty: Vec::new(),
@@ -330,7 +332,7 @@
         let config = sample();
         let address: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         let users = crate::front::users(&operator::Clients::default(), &[]).expect("users");
-        let mut clients = Clients::new(address, None, 8, 1 << 20, users, 8);
+        let mut clients = Clients::new(address, None, 8, MemoryLimits::new(16, 64), users, 8);
         let poll = mio::Poll::new().expect("a poll");
         clients.listen(poll.registry(), Token(0)).expect("listens");
         let address = clients.listener.as_ref().and_then(|l| l.local_addr().ok()).expect("listening");
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 mod front;
 mod gates;
 mod lifecycle;
+pub mod memory_limits;
 mod metrics;
 mod observers;
 mod platform;
@@ -33,6 +34,7 @@
 use front::clients::Clients;
 use front::control::{ControlEndpoint, PersistentState};
 use gates::Gates;
+use memory_limits::MemoryLimits;
 use mio::event::Event as SocketEvent;
 use mio::Events;
 use observers::{Notification, Observers};
@@ -60,8 +62,6 @@
 const ACCEPT_PAUSE: Nanos = 20 * MS;
 /// Descriptors for everything but connections: standard streams, poll, listener, signals, discovery, and some spare.
 const RESERVED_DESCRIPTORS: usize = 32;
-/// Long values in commands may take the configured memory divided by this, and answers as much.
-const MEMORY_DIVISOR: u64 = 4;
 /// The size of the read buffer.
 const READ_BUFFER_BYTES: usize = 64 << 10;
 /// The maximum number of socket events handled in an iteration.
@@ -128,7 +128,7 @@
         let signals = Signals::listen(registry, Source::Sigterm.token(), Source::Sighup.token())?;
         let descriptor_budget =
             DescriptorBudget::new(config.max_descriptors, reserved_descriptors(&config, operator));
-        let memory = ((config.memory_mb << 20) / MEMORY_DIVISOR) as usize;
+        let memory = MemoryLimits::new(config.memory_mb, config.max_descriptors);
         let users = front::users(&operator.clients, &config.tenants)?;
         let hello = boxes::hello_command(&operator.boxes)?;
         boxes::pipeline_config(&operator.pipeline, &config)?;
@@ -172,6 +172,7 @@
                 registry.try_clone()?,
                 operator,
                 hello,
+                memory.replies,
             ),
             discovery: Discovery::new(&config, version, now, discovery_tokens),
             pending_events: VecDeque::new(),
@@ -262,6 +263,7 @@
         self.process_pending();
         self.write_to_nodes();
         self.run_shadow_traffic(events);
+        self.boxes.resume_waiting_for_memory(self.event_loop.now);
     }
 
     /// Reads from cache nodes. The clock is read again for each socket: an iteration may take long where a core is
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -179,6 +179,10 @@
     pub(crate) fn end_attempt(&mut self, id: RequestId, attempt: u32, mut status: Status) {
         let Some(a) = self.requests.attempt(id, attempt) else { return };
         if let Some(connection) = a.connection {
+            if status == Status::Timeout && self.boxes.waits_for_memory(connection) {
+                // The reply waits for this process, which is no fault of the node.
+                status = Status::Cancelled;
+            }
             let abandoned = AbandonedAttempt { sent_at: a.sent, timed_out: status == Status::Timeout };
             if status == Status::Timeout && !self.boxes.is_written(connection, id, attempt) {
                 status = Status::ConnectFailed;
--- a/crates/proxy/tests/memory_limits.rs
+++ b/crates/proxy/tests/memory_limits.rs
@@ -7,6 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use testkit::scripted::*;
+use trestlesill::memory_limits::MemoryLimits;
 
 /// The longest value that is answered whole.
 const VALUE_BYTES: usize = 64 << 10;
@@ -177,3 +178,39 @@
         slow_node(VALUE_BYTES - 2_000, 12_000, Duration::from_millis(90))
     });
 }
+
+/// Guards against budgets whose sum, with what is in none of them, is more than the limit.
+#[test]
+fn the_budgets_leave_room_for_the_process_and_its_connections() {
+    for memory_mb in [16, 32, 48, 192, 2_048] {
+        for descriptors in [64, 256, 512, 1_024] {
+            let budgets = MemoryLimits::new(memory_mb, descriptors);
+            let memory = (memory_mb as usize) << 20;
+            let unbudgeted = (4 << 20) + descriptors * (4 << 10);
+            assert!(budgets.total() + unbudgeted <= memory, "{memory_mb} MB, {descriptors}: {budgets:?}");
+            // A value of the greatest length can be written and read.
+            assert!(budgets.values >= 4 << 20, "{memory_mb} MB, {descriptors}: {budgets:?}");
+            assert!(budgets.replies >= 1 << 20, "{memory_mb} MB, {descriptors}: {budgets:?}");
+        }
+    }
+}
+
+/// Guards against replies that wait for the memory of one another for good.
+#[test]
+fn replies_that_wait_for_memory_are_completed_and_served() {
+    const CLIENTS: usize = 100;
+    let mut nodes = Server::many(0);
+    let node = || slow_node(VALUE_BYTES - 2_000, 12_000, Duration::from_millis(90));
+    nodes.addresses.extend((0..NODES).map(|_| node()));
+    let proxy = Proxy::with(&nodes, |c| {
+        c["limits"] = json!({"cores": 1.0, "memory_mb": 16, "sockets": 1_024});
+    });
+    let mut clients: Vec<Peer> = (0..CLIENTS).map(|_| proxy.client()).collect();
+    (0..).zip(&mut clients).for_each(|(key, client)| client.get(key, "read", 15_000));
+    let answers: Vec<Vec<String>> = clients.iter_mut().map(Peer::command).collect();
+    let served = answers.iter().filter(|answer| answer[0].len() == VALUE_BYTES - 2_000).count();
+    let refused = answers.iter().filter(|answer| answer[0].starts_with("-BUSY")).count();
+    // Answers that find no memory may be refused; none is lost and none fails.
+    assert_eq!(served + refused, CLIENTS, "{served} served, {refused} refused");
+    assert!(served >= CLIENTS / 2, "{served} served");
+}
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -18,7 +18,7 @@
 pub use command::{Command, CommandParser};
 pub use decode::{Aggregate, BlobKind, Completed, Decoder, Event, Limits};
 pub use frame::{Frame, FrameBuilder, FrameReader};
-pub use memory::MemoryBudget;
+pub use memory::{MemoryBudget, Reservation};
 pub use reply::{BodyFormat, Reply, ReplyKind, ReplyParser, ReplyPart};
 pub use resp3::{HelloOutcome, HelloReplyParser, ReplyReader, ServerMessage};
 
--- a/crates/resp/src/memory.rs
+++ b/crates/resp/src/memory.rs
@@ -1,4 +1,4 @@
-//! The memory budget for the values of commands.
+//! Memory budgets for what arrives in parts: the values of commands, and the replies of cache nodes.
 //!
 //! A value takes memory as it arrives, so that a client which stops in the middle holds no more than it has sent, up to
 //! a factor of two. Values that grow side by side could use up the budget with none of them complete. Therefore the
@@ -11,7 +11,7 @@
 /// The smallest step by which a reservation grows, unless fewer bytes are missing.
 const MIN_STEP_BYTES: usize = 4 << 10;
 
-/// A memory budget that the parsers of all connections share.
+/// A memory budget that all connections of one kind share.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
     ledger: Rc<RefCell<Ledger>>,
@@ -71,8 +71,8 @@
         ledger.room(ledger.next_rank)
     }
 
-    /// Begins a reservation for a value of this length. It holds nothing yet.
-    pub(crate) fn begin(&self, length: usize) -> Reservation {
+    /// Begins a reservation for a value of up to this length. It holds nothing yet.
+    pub fn begin(&self, length: usize) -> Reservation {
         let rank = self.ledger.borrow_mut().add(length);
         Reservation { ledger: self.ledger.clone(), rank, held: 0, missing: length }
     }
@@ -80,7 +80,7 @@
 
 /// A part of the budget, which grows up to the length of a value. It is returned to the budget on drop.
 #[derive(Debug)]
-pub(crate) struct Reservation {
+pub struct Reservation {
     ledger: Rc<RefCell<Ledger>>,
     rank: u64,
     held: usize,
@@ -106,8 +106,21 @@
         Some(step)
     }
 
+    /// Changes how many bytes are held: at most as many as there is room for, up to its length.
+    pub fn hold(&mut self, bytes: usize) {
+        let mut ledger = self.ledger.borrow_mut();
+        let length = self.held + self.missing;
+        let bytes = bytes.min(length).min(self.held + ledger.available);
+        ledger.available = ledger.available + self.held - bytes;
+        (self.held, self.missing) = (bytes, length - bytes);
+        match self.missing {
+            0 => ledger.missing.remove(&self.rank),
+            missing => ledger.missing.insert(self.rank, missing),
+        };
+    }
+
     /// How many bytes it could take now.
-    pub(crate) fn room(&self) -> usize {
+    pub fn room(&self) -> usize {
         self.ledger.borrow().room(self.rank)
     }
 
--- a/crates/resp/src/resp3.rs
+++ b/crates/resp/src/resp3.rs
@@ -158,8 +158,6 @@
             self.begin_value(format)?;
             if length > MAX_BUFFERED_VALUE_BYTES {
                 self.streamed = Some(ReplyPart { head: Some((format, length)), ..ReplyPart::default() });
-            } else {
-                self.value.reserve_exact(length);
             }
         }
         Ok(())
@@ -175,7 +173,10 @@
                     None if self.value.len() + bytes.len() > MAX_BUFFERED_VALUE_BYTES => {
                         return Err(ProtocolError("streamed string exceeds the buffered value limit"))
                     }
-                    None => self.value.extend_from_slice(bytes),
+                    None => {
+                        self.value.reserve_exact(bytes.len());
+                        self.value.extend_from_slice(bytes);
+                    }
                 }
             }
             Some((Role::Other, _)) | None => {}
@@ -327,6 +328,15 @@
         }
     }
 
+    /// The memory that an incomplete RESP3 reply or push takes in the reader, in bytes. The bytes of a RESP2 reply are
+    /// with the caller of [`ReplyReader::feed`].
+    pub fn buffered_bytes(&self) -> usize {
+        match self {
+            ReplyReader::Two(_) => 0,
+            ReplyReader::Three(parser) => parser.reply.value.capacity() + parser.push_bytes,
+        }
+    }
+
     /// Takes input up to the end of a reply or push; returns the number of bytes taken, and the message that
     /// they completed or the part of a streamed value in them.
     ///
