--- a/crates/proxy/tests/operators.rs
+++ b/crates/proxy/tests/operators.rs
@@ -4,7 +4,6 @@
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::OwnedFd;
 use std::process::{Command, Stdio};
 use std::time::Instant;
 use testkit::program;
@@ -122,16 +121,7 @@
 
 /// Starts a proxy on an inherited listening socket, with an admin address of its own.
 fn start_on_socket(socket: &TcpListener, nodes: &Server, admin: SocketAddr) -> Proxy {
-    let mut config = config(&nodes.addresses);
-    config["listen"] = json!(socket.local_addr().expect("an address").to_string());
-    let mut shell = Command::new("/bin/sh");
-    let line = format!("exec 5<&0 0</dev/null; exec {}", program("trestlesill").display());
-    let inherited = OwnedFd::from(socket.try_clone().expect("a second descriptor"));
-    shell.args(["-c", &line]).stdin(Stdio::from(inherited));
-    // The descriptor comes by the environment, since the file is the same for both processes.
-    shell.env("NODE_LISTEN_FD", "5");
-    config["admin_addr"] = json!(admin.to_string());
-    Proxy::by(shell, config)
+    Proxy::on_socket(socket, nodes, |c| c["admin_addr"] = json!(admin.to_string()))
 }
 
 #[test]
@@ -163,16 +153,6 @@
     assert_eq!(metrics(second)["svc.success.read"].0, 1);
 }
 
-/// Connects a client that is accepted by `accepting`, while `other` listens on the same socket.
-fn connect_to_one_of(accepting: &Proxy, other: &Proxy) -> Peer {
-    other.signal("-STOP");
-    let mut client = accepting.client();
-    client.send(encode(&["PING"]));
-    assert_eq!(client.line(), "+PONG");
-    other.signal("-CONT");
-    client
-}
-
 /// Guards against a request that runs twice because its id comes to the other process of an upgrade, too.
 #[test]
 fn an_id_that_is_in_use_at_one_process_of_an_upgrade_is_refused_by_the_other() {
@@ -184,10 +164,10 @@
     let [old, new] = &processes;
     let write = encode(&["CACHE.SET", "0000000000000001", "twice", "c=once,d=2000", "v"]);
     for (first, second) in [(old, new), (new, old)] {
-        let mut at_first = connect_to_one_of(first, second);
+        let mut at_first = first.client_beside(second);
         at_first.send(&write);
         let (mut at_node, _) = nodes.command();
-        let mut at_second = connect_to_one_of(second, first);
+        let mut at_second = second.client_beside(first);
         at_second.send(&write);
         assert_eq!(at_second.line(), "-ERR the request id is in use");
         at_node.send(RECEIPT);
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -5,6 +5,7 @@
 use serde_json::{json, Value};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -404,6 +405,31 @@
         Proxy::by(command, config)
     }
 
+    /// Starts a proxy that inherits a listening socket, as descriptor 5, with a configuration changed by `edit`. Several
+    /// processes may have the same socket.
+    pub fn on_socket(socket: &TcpListener, nodes: &Server, edit: impl FnOnce(&mut Value)) -> Proxy {
+        let mut config = config(&nodes.addresses);
+        config["listen"] = json!(socket.local_addr().expect("an address").to_string());
+        edit(&mut config);
+        let mut shell = Command::new("/bin/sh");
+        let line = format!("exec 5<&0 0</dev/null; exec {}", program("trestlesill").display());
+        let inherited = OwnedFd::from(socket.try_clone().expect("a second descriptor"));
+        shell.args(["-c", &line]).stdin(Stdio::from(inherited));
+        // The descriptor comes by the environment, since the file is the same for all processes.
+        shell.env("NODE_LISTEN_FD", "5");
+        Proxy::by(shell, config)
+    }
+
+    /// Connects a client that this proxy accepts, while `other` listens on the same socket.
+    pub fn client_beside(&self, other: &Proxy) -> Peer {
+        other.signal("-STOP");
+        let mut client = self.client();
+        client.send(encode(&["PING"]));
+        assert_eq!(client.line(), "+PONG");
+        other.signal("-CONT");
+        client
+    }
+
     /// Kills the proxy and starts it again with the same arguments and configuration.
     pub fn kill_and_start(&mut self) {
         let args: Vec<_> =
