Ids that come to both processes of an upgrade at once are taken by one of them

Cause: a slot of the shared table was read and then written with nothing in between that kept the other process out, and two ids with the same slot displaced each other.

--- a/crates/proxy/src/client_ids.rs
+++ b/crates/proxy/src/client_ids.rs
@@ -1,6 +1,6 @@
 //! The ids that clients gave to requests which are open, or whose effect may still come. No sockets here.
 
-use crate::platform::shared_ids::SharedIds;
+use crate::platform::shared_ids::{IdClaim, SharedIds};
 use calicosaddle::api::RequestId;
 use rustc_hash::FxHashMap;
 use std::collections::HashSet;
@@ -24,12 +24,16 @@
         ClientIds { shared, ..ClientIds::default() }
     }
 
-    /// Takes an id; returns false if it is in use.
-    pub fn take(&mut self, id: &[u8]) -> bool {
-        if self.in_use.contains(id) || self.shared.as_ref().is_some_and(|shared| !shared.take(id)) {
-            return false;
+    /// Takes an id unless it is in use.
+    pub fn take(&mut self, id: &[u8]) -> IdClaim {
+        if self.in_use.contains(id) {
+            return IdClaim::InUse;
         }
-        self.in_use.insert(id.into())
+        let claim = self.shared.as_ref().map_or(IdClaim::Taken, |shared| shared.take(id));
+        if claim == IdClaim::Taken {
+            self.in_use.insert(id.into());
+        }
+        claim
     }
 
     /// Frees the id of a request that has ended.
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -49,8 +49,12 @@
         let (earliest, now) = (self.event_loop.earliest_arrival, self.event_loop.now);
         let arrived = delayed_since.map_or(earliest, |since| since.min(earliest));
         match self.requests.insert(id, slot, query, arrived, now) {
-            None => self.write_answer(slot, class, Answer::IdInUse, FinalResult::Failed),
-            Some((request, deadline)) => {
+            Err(answer) => {
+                let refused = matches!(answer, Answer::Busy(_));
+                let result = if refused { FinalResult::Refused } else { FinalResult::Failed };
+                self.write_answer(slot, class, answer, result);
+            }
+            Ok((request, deadline)) => {
                 self.event_loop.timers.set(deadline, TimerEvent::RequestDeadline(id));
                 self.pending_events.push_back(Event::Arrival(request));
             }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -3,7 +3,7 @@
 
 use crate::client_ids::ClientIds;
 use crate::platform::config::Config;
-use crate::platform::shared_ids::SharedIds;
+use crate::platform::shared_ids::{IdClaim, SharedIds};
 use crate::write_history::WriteHistory;
 use calicosaddle::api::{server_id, Nanos, Request, RequestId, RetrySafety, ServerId};
 use resp::{Command, Protocol, Reply};
@@ -309,8 +309,11 @@
     }
 
     /// Adds a request that may have arrived as early as `arrived`. Returns the event for the balancer and the
-    /// request's deadline, or `None` if another open request has the same id: cache nodes would treat a second
-    /// request under an open id as a copy of the first.
+    /// request's deadline.
+    ///
+    /// # Errors
+    /// The answer if the request can't be accepted: another open request has the same id, and cache nodes would treat it as
+    /// a copy of that, or nothing can be learned of the id.
     pub fn insert(
         &mut self,
         id: RequestId,
@@ -318,9 +321,11 @@
         query: Rc<Query>,
         arrived: Nanos,
         now: Nanos,
-    ) -> Option<(Request, Nanos)> {
-        if !self.client_ids.take(query.id()) {
-            return None;
+    ) -> Result<(Request, Nanos), Answer<'static>> {
+        match self.client_ids.take(query.id()) {
+            IdClaim::Taken => {}
+            IdClaim::InUse => return Err(Answer::IdInUse),
+            IdClaim::Unknown => return Err(Answer::Busy(0)),
         }
         let margin = ANSWER_MARGIN.min(query.timeout / 10);
         let deadline = arrived + query.timeout - margin;
@@ -345,7 +350,7 @@
             client_half_closed: false,
         };
         self.open.insert(id, open);
-        Some((request, deadline))
+        Ok((request, deadline))
     }
 
     /// Starts an attempt; returns `None` if the request is not open.
@@ -489,7 +494,7 @@
         let (request, deadline) = table.insert(1, slot, query(&config), 0, MS).expect("accepted");
         assert_eq!((request.remaining, deadline), (489 * MS, 490 * MS));
         // A second request with the same client id is not accepted while the first is open.
-        assert!(table.insert(2, slot, query(&config), 0, MS).is_none());
+        assert!(matches!(table.insert(2, slot, query(&config), 0, MS), Err(Answer::IdInUse)));
         let first = table.start_attempt(1, 7, 2, MS).expect("started");
         assert_eq!((first.number, first.must_not_send), (0, false));
         table.set_connection(1, 0, 5);
@@ -507,7 +512,7 @@
         );
         table.retire(1);
         assert_eq!(table.len(), 0);
-        assert!(table.insert(2, slot, query(&config), 0, MS).is_some());
+        assert!(table.insert(2, slot, query(&config), 0, MS).is_ok());
     }
 
     #[test]
--- a/crates/proxy/tests/upgrades.rs
+++ b/crates/proxy/tests/upgrades.rs
@@ -100,3 +100,25 @@
         assert_eq!(twice, 0, "round {round}: {twice} of {} ran twice", CLIENTS * WRITES);
     }
 }
+
+/// Guards against an id that is free at one process once its client has left the other, while a node may carry it out.
+#[test]
+fn the_id_of_a_client_that_has_left_one_process_is_refused_by_the_other() {
+    const WORK: Duration = Duration::from_millis(1_500);
+    let (nodes, executions) = recording_nodes(2, WORK);
+    let [first, second] = start_two(&nodes);
+    for (round, (proxy, other)) in [(&first, &second), (&second, &first)].into_iter().enumerate() {
+        let command = write(1, &format!("left-{round}"));
+        let mut leaving = proxy.client_beside(other);
+        leaving.send(&command);
+        while executions.lock().expect("lock not poisoned").len() <= round {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        leaving.reset();
+        std::thread::sleep(Duration::from_millis(200));
+        let mut at_other = other.client_beside(proxy);
+        at_other.send(&command);
+        assert_eq!(at_other.line(), "-ERR the request id is in use");
+    }
+    assert_eq!(ran_twice(&executions, WORK).len(), 0);
+}
