--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -209,3 +209,80 @@
         drop(proxy);
     }
 }
+
+/// Starts nodes that answer nothing, and record when commands arrive.
+fn silent_nodes(count: usize) -> (Server, Arc<Mutex<Vec<Instant>>>) {
+    let received: Arc<Mutex<Vec<Instant>>> = Arc::default();
+    let mut nodes = Server::many(0);
+    for _ in 0..count {
+        let received = received.clone();
+        nodes.addresses.push(answering(move |_| {
+            received.lock().expect("lock not poisoned").push(Instant::now());
+            std::thread::sleep(PATIENCE);
+            None
+        }));
+    }
+    (nodes, received)
+}
+
+/// Sends a read to silent nodes and these bytes behind it, as far as they are taken within a while, closes the connection,
+/// and asserts that no attempt begins long after the close.
+fn assert_none_sent_after_close(what: &str, behind: &[u8]) {
+    /// When the second attempt of each request would begin: half of the latency target.
+    const SECOND_ATTEMPT: Duration = Duration::from_millis(800);
+    /// An attempt may begin this long after the close, with the protocol's tolerance.
+    const GRACE: Duration = Duration::from_millis(100 + 50);
+    let (nodes, received) = silent_nodes(40);
+    let proxy = Proxy::with(&nodes, |c| {
+        for class in c["settings"]["categories"].as_array_mut().expect("classes") {
+            class["promise_ns"] = json!(2 * SECOND_ATTEMPT.as_nanos() as u64);
+        }
+    });
+    let mut client = proxy.client();
+    client.get(1, "read", 15_000);
+    client.stream.set_write_timeout(Some(Duration::from_millis(100))).expect("a time-out");
+    let mut sent = 0;
+    while sent < behind.len() {
+        match client.stream.write(&behind[sent..]) {
+            Ok(written) => sent += written,
+            Err(_) => break,
+        }
+    }
+    // What the client's kernel has not sent stands before the end of the stream.
+    drop(client);
+    let closed = Instant::now();
+    std::thread::sleep(2 * SECOND_ATTEMPT);
+    let received = received.lock().expect("lock not poisoned");
+    assert!(!received.is_empty(), "{what}: nothing was sent at all");
+    let latest = received.iter().map(|at| at.saturating_duration_since(closed)).max().unwrap_or_default();
+    assert!(latest <= GRACE, "{what}, {sent} bytes: an attempt began {latest:?} after the close");
+}
+
+/// Guards against the end of a client's stream that stands behind more bytes than the kernel takes, so that it can't be seen
+/// while the commands before it wait for answers.
+#[test]
+fn no_attempt_begins_for_a_client_that_has_left_behind_many_requests() {
+    let read = |i: usize| encode(&["CACHE.GET", &format!("{i:x}"), &format!("behind-{i}"), "c=read,d=15000"]);
+    assert_none_sent_after_close("requests", &(0..120_000).flat_map(read).collect::<Vec<u8>>());
+}
+
+/// The same with commands that are answered at once, and alike.
+#[test]
+fn no_attempt_begins_for_a_client_that_has_left_behind_many_equal_commands() {
+    assert_none_sent_after_close("equal commands", &encode(&["PING"]).repeat(600_000));
+}
+
+/// The same with commands that are answered at once, each in another way.
+#[test]
+fn no_attempt_begins_for_a_client_that_has_left_behind_many_other_commands() {
+    let echo = |i: usize| encode(&["ECHO", &format!("{i}")]);
+    assert_none_sent_after_close("other commands", &(0..400_000).flat_map(echo).collect::<Vec<u8>>());
+}
+
+/// The same with long values, for which there may be no memory.
+#[test]
+fn no_attempt_begins_for_a_client_that_has_left_behind_long_writes() {
+    let value = "v".repeat(4 << 20);
+    let write = |i: usize| encode(&["CACHE.SET", "1", &format!("long-{i}"), "c=put,d=15000,k=5c0f", &value]);
+    assert_none_sent_after_close("long writes", &(0..12).flat_map(write).collect::<Vec<u8>>());
+}
