A client not read up for 50 ms gets no further attempts; its commands are refused

Cause: a client is not read while its answers are unread, a value waits for memory, or it sends faster than its commands are handled. The end of its stream can't be seen meanwhile, since the kernel does not take it, and the proxy went on as if the client were there.

Change: the clients' module keeps since when a socket has not been found empty. After 50 ms with a request open, attempts of its requests are not written, and its commands are read and refused until the socket is empty or the stream ends. Equal answers to consecutive commands take the memory of one. Commands count from when their bytes may have arrived.

Why it works: at each write of an attempt either the client's input was found empty within the last 50 ms, so that the end would have been seen, or the attempt is not written.

--- a/crates/proxy/src/front/clients/answers.rs
+++ b/crates/proxy/src/front/clients/answers.rs
@@ -1,5 +1,6 @@
 //! Answers to commands: kept in the order of the commands, and written as far as sockets accept them.
 
+use super::output::RepeatedAnswer;
 use super::{ClientEvent, Clients, Slot, WaitingSlot};
 use crate::request::{Answer, ReplySlot};
 use calicosaddle::api::Nanos;
@@ -28,8 +29,13 @@
     /// Answers the last parsed command without making it a request.
     pub(super) fn answer_directly(&mut self, key: usize, answer: &[u8]) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        client.slots.push_back(Slot::Ready(answer.to_vec()));
-        client.queued_bytes += answer.len();
+        match client.slots.back_mut() {
+            Some(Slot::Ready(last)) if last.bytes == answer => last.count += 1,
+            _ => {
+                client.slots.push_back(Slot::Ready(RepeatedAnswer::once(answer.to_vec())));
+                client.queued_bytes += answer.len();
+            }
+        }
         self.advance(key);
     }
 
@@ -54,7 +60,7 @@
         }
         if let Some((client, position)) = self.find_slot(slot) {
             client.queued_bytes += bytes.len();
-            client.slots[position] = Slot::Ready(bytes);
+            client.slots[position] = Slot::Ready(RepeatedAnswer::once(bytes));
         }
         self.advance(slot.client);
         given
@@ -66,14 +72,14 @@
         loop {
             match client.slots.front_mut() {
                 Some(Slot::Ready(answer)) => {
-                    client.queued_bytes -= answer.len();
+                    client.queued_bytes -= answer.bytes.len();
                     client.output.push(std::mem::take(answer));
                     client.slots.pop_front();
                     client.first_slot += 1;
                 }
                 Some(Slot::Streaming { queued, .. }) => {
                     client.queued_bytes -= queued.len();
-                    client.output.push(std::mem::take(queued));
+                    client.output.push_bytes(std::mem::take(queued));
                     break;
                 }
                 Some(Slot::Waiting(..)) | None => break,
--- a/crates/proxy/src/front/clients/commands.rs
+++ b/crates/proxy/src/front/clients/commands.rs
@@ -3,7 +3,7 @@
 use super::waiting::MemoryWait;
 use super::{Client, ClientEvent, Clients, Slot, WaitingSlot, BUSY_REPLY};
 use crate::platform::config::Config;
-use crate::request::{Query, ReplySlot, HALF_CLOSE_GRACE};
+use crate::request::{Query, ReplySlot};
 use calicosaddle::api::Nanos;
 use resp::Command;
 use session::CommandOutcome;
@@ -30,11 +30,16 @@
     pub fn read(&mut self, key: usize, closed: bool, config: &Config, buffer: &mut [u8], now: Nanos) {
         let least = self.commands_read_limit();
         for _ in 0..MAX_READS {
-            let may_be_read = self.may_be_read(key);
+            let has_room = self.may_be_read(key);
             let Some(client) = self.clients.get_mut(key).filter(|c| !c.eof) else { return };
+            if client.parser.waits_for_memory() {
+                return;
+            }
             // A client that sends faster than it reads is slowed down by the socket buffers.
-            client.read_suspended = !may_be_read;
-            if client.read_suspended || client.parser.waits_for_memory() {
+            let seeks_end = client.is_refusing && client.has_open_request();
+            client.read_suspended = !has_room && !seeks_end;
+            if client.read_suspended {
+                self.left_unread(key, now);
                 return;
             }
             // What a client sends after a protocol error is read and dropped: the end of the stream may stand behind it.
@@ -52,6 +57,7 @@
                     if !is_dropped {
                         self.parse_input(key, &buffer[..n], config, now);
                     }
+                    self.consume_unread(key, n, now);
                     // A short read has emptied the socket, except for a possible end of the stream.
                     if n < limit && !closed {
                         self.has_caught_up(key);
@@ -73,6 +79,7 @@
             }
         }
         self.pending_reads.insert(key);
+        self.left_unread(key, now);
     }
 
     /// Handles the end of a client's input, all of which has been read.
@@ -113,11 +120,15 @@
                         None if client.parser.in_progress() => client.partial_since.or(Some(now)),
                         _ => None,
                     };
+                    if client.is_refusing {
+                        client.parser.drop_value();
+                    }
                     if client.parser.waits_for_memory() {
                         client.pending.extend_from_slice(input);
                         let begin = || MemoryWait::begin(&client.parser, config, now);
                         client.memory_wait.get_or_insert_with(begin);
                         self.waiting_for_memory.push_back(key);
+                        self.left_unread(key, now);
                         return;
                     }
                     if let Some(command) = command {
@@ -144,6 +155,10 @@
 
     fn handle_command(&mut self, key: usize, command: Command, config: &Config, now: Nanos) {
         let Some(client) = self.clients.get_mut(key) else { return };
+        if client.is_refusing {
+            self.refuse(key, command, config);
+            return;
+        }
         if let CommandOutcome::Answer(answer) = client.session.handle(&command, &self.users) {
             if answer.accepted {
                 client.awaiting_first_command_since = None;
@@ -155,8 +170,7 @@
         }
         let memory_wait = client.memory_wait.take();
         // The client may have left long ago: the end of its stream could not be seen while the value waited.
-        let has_left = (memory_wait.is_some() && client.is_at_end_of_input())
-            || client.ended_at.is_some_and(|at| at + HALF_CLOSE_GRACE <= now);
+        let has_left = (memory_wait.is_some() && client.is_at_end_of_input()) || client.may_have_left(now);
         let may_be_sent = command.is_complete() && !has_left && client.slots.len() < self.max_open_commands;
         let query = Query::parse(command, config).map_err(Cow::from).and_then(|query| {
             client.session.check_tenant(query.tenant, &self.users).map_err(Cow::from).map(|()| query)
@@ -176,6 +190,14 @@
         }
     }
 
+    /// Refuses a command of a client whose input is read only to find the end of the stream.
+    fn refuse(&mut self, key: usize, command: Command, config: &Config) {
+        if let Ok(query) = Query::parse(command, config) {
+            self.events.push_back(ClientEvent::Rejected(query.class));
+        }
+        self.answer_directly(key, BUSY_REPLY);
+    }
+
     /// Makes a command a request, with the memory that is reserved for its answer.
     fn open_request(
         &mut self,
@@ -189,6 +211,7 @@
         let class = config.settings.classes.get(query.class as usize);
         let id = self.next_id;
         self.next_id += 1;
+        let delayed_since = client.arrived_since();
         let number = client.first_slot + client.slots.len() as u64;
         client.slots.push_back(Slot::Waiting(WaitingSlot {
             id,
@@ -204,7 +227,7 @@
             id,
             slot: ReplySlot { client: key, number },
             query: Rc::new(query),
-            delayed_since: memory_wait.map(|wait| wait.since),
+            delayed_since: delayed_since.into_iter().chain(memory_wait.map(|wait| wait.since)).min(),
         });
         if let Some(ended_at) = client.ended_at {
             self.events.push_back(ClientEvent::HalfClosed(id, ended_at));
--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -6,6 +6,7 @@
 mod memory;
 mod output;
 mod timeouts;
+mod unread;
 mod values;
 mod waiting;
 
@@ -16,7 +17,7 @@
 use calicosaddle::api::{Nanos, RequestId};
 use memory::AnswerMemory;
 use mio::net::{TcpListener, TcpStream};
-use output::OutputQueue;
+use output::{OutputQueue, RepeatedAnswer};
 use resp::{CommandParser, MemoryBudget, Protocol};
 use session::{Session, Users};
 use slab::Slab;
@@ -24,6 +25,7 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
+use unread::{UnreadClients, UnreadInput};
 use waiting::MemoryWait;
 
 const MS: Nanos = 1_000_000;
@@ -44,7 +46,7 @@
         slot: ReplySlot,
         /// The client's command.
         query: Rc<Query>,
-        /// Since when its connection was not read, if its value waited for memory. It may have arrived then.
+        /// Since when its connection was not read. It may have arrived then.
         delayed_since: Option<Nanos>,
     },
     /// A command of this class was refused before it became a request: there was no memory for its value, its client
@@ -53,6 +55,11 @@
     /// The client closed its sending side at this time, while the request was open or before its command was read. It may
     /// still read the answer: attempts in flight may complete, but no new one may be sent.
     HalfClosed(RequestId, Nanos),
+    /// The end of the client's stream may stand behind input that has been unread for some time. No further attempt may begin
+    /// for this request until [`ClientEvent::EndVisible`].
+    EndHidden(RequestId),
+    /// All input of the client has been read, and its stream has not ended.
+    EndVisible(RequestId),
     /// The client can take more of the long value that is being streamed as the answer to this request.
     ReadyForMore(RequestId),
     /// The connection is closed, so this request can't be answered.
@@ -77,8 +84,8 @@
 enum Slot {
     /// Not answered yet.
     Waiting(WaitingSlot),
-    /// Answered; the bytes wait for the answers before them.
-    Ready(Vec<u8>),
+    /// Answered, as are any equal commands behind it; the bytes wait for the answers before them.
+    Ready(RepeatedAnswer),
     /// A long value is being streamed as the answer.
     Streaming {
         id: RequestId,
@@ -130,6 +137,10 @@
     lingering_since: Option<Nanos>,
     /// Reading is suspended because too many answers are unread.
     read_suspended: bool,
+    /// The input that may be in its socket, if that has not been found empty.
+    unread: Option<UnreadInput>,
+    /// Its commands are refused until all its input has been read.
+    is_refusing: bool,
     /// Input behind the part of a command whose value waits for memory.
     pending: Vec<u8>,
     /// The value of the command that is being read waits for memory, or has waited.
@@ -160,6 +171,8 @@
             closing: false,
             lingering_since: None,
             read_suspended: false,
+            unread: None,
+            is_refusing: false,
             pending: Vec::new(),
             memory_wait: None,
         }
@@ -210,6 +223,8 @@
     dirty: Vec<usize>,
     /// Connections whose commands wait for memory, in the order in which they began to wait.
     waiting_for_memory: VecDeque<usize>,
+    /// Connections whose input has not been read up.
+    unread_clients: UnreadClients,
     /// Connections that may have unread input. Each is read once in an iteration of the event loop, however often it was
     /// found to have more.
     pending_reads: BTreeSet<usize>,
@@ -245,6 +260,7 @@
             stopping: false,
             dirty: Vec::new(),
             waiting_for_memory: VecDeque::new(),
+            unread_clients: UnreadClients::default(),
             pending_reads: BTreeSet::new(),
             events: VecDeque::new(),
         }
--- a/crates/proxy/src/front/clients/values.rs
+++ b/crates/proxy/src/front/clients/values.rs
@@ -1,6 +1,7 @@
 //! Long values that are streamed to clients as the answers to their requests.
 
 use super::answers::encoded;
+use super::output::RepeatedAnswer;
 use super::{Client, Clients, Slot, WaitingSlot};
 use crate::request::{Answer, ReplySlot};
 use resp::{BodyFormat, Reply};
@@ -55,7 +56,7 @@
         reply.write_tail(*protocol, queued);
         let (tail_length, queued) = (queued.len() - length_before, std::mem::take(queued));
         client.queued_bytes += tail_length;
-        client.slots[position] = Slot::Ready(queued);
+        client.slots[position] = Slot::Ready(RepeatedAnswer::once(queued));
         self.advance(slot.client);
     }
 
@@ -71,7 +72,7 @@
         let failure = encoded(&Answer::Failed, *protocol);
         client.queued_bytes -= queued.len();
         client.queued_bytes += failure.len();
-        client.slots[position] = Slot::Ready(failure);
+        client.slots[position] = Slot::Ready(RepeatedAnswer::once(failure));
         self.advance(slot.client);
     }
 
--- a/crates/proxy/src/front/clients/waiting.rs
+++ b/crates/proxy/src/front/clients/waiting.rs
@@ -33,6 +33,11 @@
         let timeout = request::stated_timeout(parser.partial_arg(request::FIELDS_INDEX), config);
         MemoryWait { since: now, until: now + timeout.unwrap_or(0) / WAIT_DIVISOR }
     }
+
+    /// When the command is given up.
+    pub(super) fn until(&self) -> Nanos {
+        self.until
+    }
 }
 
 impl Client {
@@ -56,7 +61,7 @@
             let Some(client) = self.clients.get_mut(key).filter(|c| c.parser.waits_for_memory()) else {
                 continue;
             };
-            if client.memory_wait.is_none_or(|wait| wait.until <= now) {
+            if client.is_refusing || client.memory_wait.is_none_or(|wait| wait.until <= now) {
                 client.parser.drop_value();
             }
             if client.parser.retry_reservation() {
@@ -93,6 +98,7 @@
     pub(super) fn has_caught_up(&mut self, key: usize) {
         if let Some(client) = self.clients.get_mut(key).filter(|c| !c.parser.waits_for_memory()) {
             client.memory_wait = None;
+            self.read_up(key);
         }
     }
 
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -24,6 +24,8 @@
                 self.observers.notify(Notification::Answered(FinalResult::Refused, class));
             }
             clients::ClientEvent::HalfClosed(id, at) => self.client_half_closed(id, at),
+            clients::ClientEvent::EndHidden(id) => self.requests.set_send_until(id, self.event_loop.now),
+            clients::ClientEvent::EndVisible(id) => self.requests.set_send_until(id, Nanos::MAX),
             clients::ClientEvent::ReadyForMore(id) => self.resume_stream(id),
             clients::ClientEvent::Disconnected(id) => self.client_disconnected(id),
         }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -365,8 +365,9 @@
         let number = open.attempts_started;
         open.attempts_started += 1;
         open.open_attempts.push(Attempt { number, server, sent: now, connection: None });
+        let client_may_have_left = open.client_half_closed || open.query.send_until.get() <= now;
         let must_not_send =
-            open.answered || open.client_half_closed || open.deadline <= now || number >= max_attempts;
+            open.answered || client_may_have_left || open.deadline <= now || number >= max_attempts;
         Some(StartedAttempt { number, query: open.query.clone(), deadline: open.deadline, must_not_send })
     }
 
@@ -419,6 +420,13 @@
         true
     }
 
+    /// Sets until when an attempt of a request may be written, unless its client has shut down its sending side.
+    pub fn set_send_until(&mut self, id: RequestId, send_until: Nanos) {
+        if let Some(open) = self.open.get(&id).filter(|open| !open.client_half_closed) {
+            open.query.send_until.set(send_until);
+        }
+    }
+
     /// True if the request is unanswered, its client has shut down its sending side, and no attempt is open that
     /// could answer it.
     pub fn is_orphaned(&self, id: RequestId) -> bool {
--- a/crates/proxy/tests/departed_clients.rs
+++ b/crates/proxy/tests/departed_clients.rs
@@ -286,3 +286,35 @@
     let write = |i: usize| encode(&["CACHE.SET", "1", &format!("long-{i}"), "c=put,d=15000,k=5c0f", &value]);
     assert_none_sent_after_close("long writes", &(0..12).flat_map(write).collect::<Vec<u8>>());
 }
+
+/// Guards against a client that is taken for one that has left because it sends much at once: each of its commands is answered,
+/// the request before them by its node, and it is served again once all has been read.
+#[test]
+fn a_client_that_sends_much_behind_a_request_is_answered_and_then_served_again() {
+    const COMMANDS: usize = 100_000;
+    let mut nodes = Server::many(0);
+    nodes.addresses.push(answering(|command| {
+        if command.arg(2).starts_with(b"slow") {
+            std::thread::sleep(Duration::from_millis(500));
+        }
+        Some(cached(command))
+    }));
+    let proxy = Proxy::start(&nodes);
+    let mut client = proxy.client();
+    client.send(encode(&["CACHE.GET", "1", "slow", "c=read,d=15000"]));
+    let echo = |i: usize| encode(&["ECHO", &format!("{i}")]);
+    client.send((0..COMMANDS).flat_map(echo).collect::<Vec<u8>>());
+    assert_eq!(client.command()[0], "1:1");
+    let mut refused = 0;
+    for i in 0..COMMANDS {
+        match client.line() {
+            head if head == "-BUSY" => refused += 1,
+            head => {
+                assert_eq!((head, client.line()), (format!("${}", i.to_string().len()), i.to_string()));
+            }
+        }
+    }
+    assert!(refused < COMMANDS, "all were refused");
+    client.get(2, "read", 15_000);
+    assert_eq!(client.command()[0], "0000000000000002:1");
+}
