Test: system calls that fail for a moment or do a part of their work

The package `syscall-faults` stands in for functions of the C library in a program that it is preloaded into: transfers, sockets, accept, connect, waits, fsync and the wall clock, by rules with probabilities from a seed. Testkit builds it by its build script, since cargo builds no dynamic library as a dependency, and a test whose program has not loaded it fails.

--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -159,7 +159,12 @@
 
     /// Returns true if input is buffered or arrives within 1 ms.
     pub fn has_input(&mut self) -> bool {
-        self.stream.set_read_timeout(Some(Duration::from_millis(1))).expect("a time-out");
+        self.has_input_within(Duration::from_millis(1))
+    }
+
+    /// Returns true if input is buffered or arrives within this time.
+    pub fn has_input_within(&mut self, timeout: Duration) -> bool {
+        self.stream.set_read_timeout(Some(timeout)).expect("a time-out");
         let arrived = self.stream.peek(&mut [0]).is_ok_and(|n| n > 0);
         self.stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
         arrived || !self.input.is_empty()
@@ -443,6 +448,23 @@
         self.child = crate::spawn(command.stderr(Stdio::piped())).expect("the proxy starts");
     }
 
+    /// Starts a proxy whose system calls have faults, by the rules of the package `syscall-faults`; `LISTEN` in them stands for
+    /// its port for clients. Waits until it listens, and does not connect meanwhile.
+    pub fn faulty(nodes: &Server, rules: &str, seed: u64, edit: impl FnOnce(&mut Value)) -> Proxy {
+        let mut config = config(&nodes.addresses);
+        edit(&mut config);
+        let address: SocketAddr = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
+        let mut command = Command::new(program("trestlesill"));
+        command.env("LD_PRELOAD", env!("SYSCALL_FAULTS_LIBRARY"));
+        command.env("SYSCALL_FAULTS", rules.replace("LISTEN", &address.port().to_string()));
+        command.env("SYSCALL_FAULTS_SEED", seed.to_string());
+        let proxy = Proxy::by(command, config);
+        let maps =
+            std::fs::read_to_string(format!("/proc/{}/maps", proxy.child.id())).expect("its memory map");
+        assert!(maps.contains("libsyscall_faults"), "the library with the faults is not loaded");
+        proxy
+    }
+
     /// Returns the text of the configuration file.
     pub fn text(&self) -> String {
         std::fs::read_to_string(&self.path).expect("a configuration")
