Sockets are read until EAGAIN: a short read does not show that they are empty

Cause: a read of less than the buffer was taken to have emptied the socket. Input left there was read only when more came, since readiness is told once.

Change: clients' and nodes' connections are read until EAGAIN or up to a bound, after which they are read again in the next iteration. The parameter `closed` of both reads has gone.

Why it works: a connection is left without being listed for another read only after EAGAIN.

--- a/crates/proxy/src/boxes/read.rs
+++ b/crates/proxy/src/boxes/read.rs
@@ -39,12 +39,11 @@
         std::mem::take(&mut self.unread)
     }
 
-    /// Handles readiness of a connection's socket: connects, reads and writes, up to a bound. With `closed`, an
-    /// end of stream may follow a short read, so reading goes on after it.
+    /// Handles readiness of a connection's socket: connects, reads and writes, up to a bound.
     ///
     /// What has arrived is read before anything is written. Bytes that came while no command was in flight are unsolicited,
     /// also where their settle delay is over by the time they are read; behind a new command they would pass for its reply.
-    pub fn ready(&mut self, key: usize, closed: bool, buffer: &mut [u8], now: Nanos) {
+    pub fn ready(&mut self, key: usize, buffer: &mut [u8], now: Nanos) {
         let Some(c) = self.connections.get_mut(key) else { return };
         if !c.connected {
             match c.link.socket.is_up() {
@@ -62,7 +61,7 @@
             // A node without room for the connection may have refused the first command before it was written.
             self.flush(key, now);
         }
-        self.read(key, closed, buffer, now);
+        self.read(key, buffer, now);
         // The key may belong to a new connection by now.
         if self.connections.get(key).is_some_and(|c| c.serial == serial) {
             self.flush_if_quiet(key, now);
@@ -88,8 +87,8 @@
         self.start_next_race(server, now);
     }
 
-    /// Reads received bytes, up to a bound.
-    pub(super) fn read(&mut self, key: usize, closed: bool, buffer: &mut [u8], now: Nanos) {
+    /// Reads received bytes until the socket is empty, up to a bound. A short read does not show that it is empty.
+    pub(super) fn read(&mut self, key: usize, buffer: &mut [u8], now: Nanos) {
         for _ in 0..MAX_READS_PER_TURN {
             if self.connections.get(key).is_none_or(|c| c.paused) {
                 return;
@@ -115,10 +114,6 @@
                         // The client's remaining buffer space is known once these bytes have been passed on.
                         break;
                     }
-                    // A short read has emptied the socket; only an end of stream can follow.
-                    if n < limit && !closed {
-                        return;
-                    }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
--- a/crates/proxy/src/boxes/tests.rs
+++ b/crates/proxy/src/boxes/tests.rs
@@ -80,12 +80,12 @@
             || assert!(started.elapsed() < Duration::from_secs(20), "no progress within 20 s");
         while boxes.attempts_written == 0 {
             check_progress();
-            boxes.ready(key, false, &mut [0; 64], MS);
+            boxes.ready(key, &mut [0; 64], MS);
         }
         node.write_all(REPLY).expect("write to the proxy");
         while !matches!(boxes.next_event(), Some(NodeEvent::Served(1, 0, ..))) {
             check_progress();
-            boxes.ready(key, false, &mut [0; 64], 2 * MS);
+            boxes.ready(key, &mut [0; 64], 2 * MS);
         }
         let again = QueuedAttempt { attempt: 1, ..queued(&sample()) };
         assert!(matches!(boxes.send(7, again, 3 * MS), Some((same, None)) if same == key));
@@ -97,7 +97,7 @@
             node.write_all(REPLY).expect("write to the proxy");
             while boxes.nodes[&7].stats.unsolicited == 0 {
                 check_progress();
-                boxes.ready(key, false, &mut [0; 64], 6 * MS);
+                boxes.ready(key, &mut [0; 64], 6 * MS);
             }
             let moved = boxes.next_event();
             assert!(matches!(moved, Some(NodeEvent::Reassigned(1, 1, _, Some(_)))), "{moved:?}");
@@ -141,14 +141,14 @@
     let started = Instant::now();
     while boxes.attempts_written == 0 {
         assert!(started.elapsed() < Duration::from_secs(20), "the attempt was not written within 20 s");
-        boxes.ready(connected, false, &mut [0; 64], MS);
+        boxes.ready(connected, &mut [0; 64], MS);
     }
     let (slow, new) =
         boxes.send(7, QueuedAttempt { attempt: 1, ..queued(&sample()) }, MS).expect("a second connection");
     assert!(new.is_some() && slow != connected);
     node.write_all(REPLY).expect("write to the proxy");
     while boxes.connections[connected].depth() > 0 && started.elapsed() < Duration::from_secs(20) {
-        boxes.ready(connected, false, &mut [0; 64], 2 * MS);
+        boxes.ready(connected, &mut [0; 64], 2 * MS);
         if matches!(boxes.next_event(), Some(NodeEvent::Served(1, 0, ..))) {
             break;
         }
@@ -211,7 +211,7 @@
             );
             std::thread::sleep(Duration::from_millis(1));
         }
-        boxes.ready(*key, false, &mut [0; 64], 310 * MS);
+        boxes.ready(*key, &mut [0; 64], 310 * MS);
         assert_eq!(boxes.racing_dials, usize::from(i < 3), "after connection {i}");
     }
     assert!(boxes.connections.iter().all(|(_, c)| c.connected));
@@ -229,7 +229,7 @@
         if drained {
             boxes.set_drained(&[7], 0);
         }
-        boxes.ready(key, false, &mut [0; 64], MS);
+        boxes.ready(key, &mut [0; 64], MS);
         let ended = matches!(boxes.next_event(), Some(NodeEvent::Ended(1, 0, Status::NotSent, _)));
         assert_eq!((ended, boxes.nodes[&7].attempts_sent), (drained, u64::from(!drained)));
     }
--- a/crates/proxy/src/boxes/write.rs
+++ b/crates/proxy/src/boxes/write.rs
@@ -120,7 +120,7 @@
             return;
         }
         let (server, mut queued) = (c.server, c.pipeline.take_queued());
-        self.read(key, false, &mut [0; CHECK_BUFFER_BYTES], now);
+        self.read(key, &mut [0; CHECK_BUFFER_BYTES], now);
         if let Some(c) = self.connections.get_mut(key) {
             c.has_unread = !c.link.socket.is_quiet();
             if !c.has_unread && !c.mid_reply() {
--- a/crates/proxy/src/front/clients/commands.rs
+++ b/crates/proxy/src/front/clients/commands.rs
@@ -15,8 +15,8 @@
 /// The maximum number of unanswered commands and queued answers of a client, per command that it may have open. The
 /// commands of a client with more are not read.
 const SLOTS_PER_OPEN_COMMAND: usize = 8;
-/// The maximum number of consecutive reads of a value before other connections are served. Commands, each of which takes
-/// time of its own, are read once.
+/// The maximum number of consecutive reads before other connections are served. Of commands, each of which takes time of
+/// its own, one buffer is read.
 const MAX_READS: usize = 4;
 
 impl Clients {
@@ -25,9 +25,9 @@
         std::mem::take(&mut self.pending_reads)
     }
 
-    /// Reads the input of a connection: commands once, a value up to [`MAX_READS`] times. `closed` tells that the end of the
-    /// stream may follow.
-    pub fn read(&mut self, key: usize, closed: bool, config: &Config, buffer: &mut [u8], now: Nanos) {
+    /// Reads the input of a connection until its socket is empty, or up to a bound: [`MAX_READS`] times, and commands up to one
+    /// buffer. A short read does not show that the socket is empty.
+    pub fn read(&mut self, key: usize, config: &Config, buffer: &mut [u8], now: Nanos) {
         let least = self.commands_read_limit();
         for _ in 0..MAX_READS {
             let has_room = self.may_be_read(key);
@@ -58,12 +58,7 @@
                         self.parse_input(key, &buffer[..n], config, now);
                     }
                     self.consume_unread(key, n, now);
-                    // A short read has emptied the socket, except for a possible end of the stream.
-                    if n < limit && !closed {
-                        self.has_caught_up(key);
-                        return;
-                    }
-                    if !self.clients.get(key).is_some_and(|c| c.parser.in_value()) {
+                    if n == limit && !self.clients.get(key).is_some_and(|c| c.parser.in_value()) {
                         break;
                     }
                 }
--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -321,7 +321,7 @@
         let keys: Vec<usize> = self.clients.iter().map(|(key, _)| key).collect();
         for key in keys {
             // Input that has already arrived is still handled.
-            self.read(key, true, config, buffer, now);
+            self.read(key, config, buffer, now);
             if self.clients.get(key).is_some_and(Client::is_closable) {
                 self.linger(key, now);
             }
@@ -363,7 +363,7 @@
             clients.listener_ready();
             clients.accept(poll.registry(), 0, Token, |_| 8).expect("accepted");
             clients.clients.iter().map(|(key, _)| key).collect::<Vec<_>>().into_iter().for_each(|key| {
-                clients.read(key, false, &config, &mut buffer, 0);
+                clients.read(key, &config, &mut buffer, 0);
             });
             if let Some(ClientEvent::Query { slot, .. }) = clients.next_event() {
                 break slot;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -35,7 +35,6 @@
 use front::control::{ControlEndpoint, PersistentState};
 use gates::Gates;
 use memory_limits::MemoryLimits;
-use mio::event::Event as SocketEvent;
 use mio::Events;
 use observers::{Notification, Observers};
 use platform::discovery::{Discovery, ListUpdate, PollResult};
@@ -272,7 +271,7 @@
     fn read_nodes(&mut self, events: &Events) {
         for key in self.boxes.take_unread() {
             let limit = self.clients.node_read_limit().min(READ_BUFFER_BYTES);
-            self.boxes.ready(key, true, &mut self.buffer[..limit], self.event_loop.now);
+            self.boxes.ready(key, &mut self.buffer[..limit], self.event_loop.now);
             self.process_pending();
         }
         for event in events {
@@ -284,7 +283,7 @@
             self.event_loop.update_now();
             if !is_race || self.boxes.race_ready(key, self.event_loop.now) {
                 let limit = self.clients.node_read_limit().min(READ_BUFFER_BYTES);
-                self.boxes.ready(key, is_closed(event), &mut self.buffer[..limit], self.event_loop.now);
+                self.boxes.ready(key, &mut self.buffer[..limit], self.event_loop.now);
             }
             self.process_pending();
         }
@@ -320,7 +319,7 @@
     fn read_clients(&mut self, events: &Events) {
         self.clients.refuse_overdue(self.event_loop.now);
         for key in self.clients.take_pending_reads() {
-            self.clients.read(key, true, &self.config, &mut self.buffer, self.event_loop.now);
+            self.clients.read(key, &self.config, &mut self.buffer, self.event_loop.now);
             self.process_pending();
         }
         for event in events {
@@ -335,7 +334,7 @@
             } else if event.is_read_closed() {
                 self.clients.input_ended(key, &self.config, now);
             }
-            self.clients.read(key, is_closed(event), &self.config, &mut self.buffer, now);
+            self.clients.read(key, &self.config, &mut self.buffer, now);
             self.process_pending();
         }
     }
@@ -518,11 +517,6 @@
     ids.inspect_err(|e| eprintln!("ids are not shared with other processes: {e}")).ok()
 }
 
-/// True if a socket's peer has closed the connection or it has failed.
-fn is_closed(event: &SocketEvent) -> bool {
-    event.is_read_closed() || event.is_error()
-}
-
 /// Descriptors that are not available to client and node connections.
 fn reserved_descriptors(config: &Config, operator: &operator::Operator) -> usize {
     let control = operator.control.as_ref().map_or(0, |c| c.max_connections + 1);
