A socket that can't be opened for a moment is waited for, and no node is judged for it

Cause: every error of opening a connection counted as a failed connection of its node, at its address and in the balancer, which ejected all nodes after a few.

Why it works: neither the address table nor the balancer hears of an error that this machine caused.

--- a/crates/proxy/src/boxes/dial.rs
+++ b/crates/proxy/src/boxes/dial.rs
@@ -6,48 +6,83 @@
 use super::socket::{Dial, Socket};
 use super::{Boxes, NewConnection, QueuedAttempt};
 use crate::event_loop::Source;
+use crate::io_error::ErrorCause;
 use crate::write_history::Endpoint;
-use addresses::ConnectionRace;
+use addresses::{Address, ConnectionRace};
 use calicosaddle::api::{Nanos, ServerId};
 use mio::{Registry, Token};
 use pipeline::{ForeignReplyDetector, Pipeline};
 use resp::{Protocol, ReplyReader};
 
+/// Why no address of a node is being dialed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DialError {
+    /// No descriptor is free.
+    NoDescriptor,
+    /// No address is left that could be dialed.
+    NoAddress,
+    /// This machine can't open a socket at the moment, or has no way to any of the addresses.
+    Local,
+}
+
 /// Dials the addresses of a race in order until one can be dialed.
+///
+/// # Errors
+/// [`DialError::NoAddress`], or [`DialError::Local`] if an address could not be dialed for a cause on this machine.
 fn dial(
     node: &mut Node,
     race: &mut ConnectionRace,
     registry: &Registry,
     token: Token,
     now: Nanos,
-) -> Option<Dial> {
+) -> Result<Dial, DialError> {
+    let mut result = DialError::NoAddress;
     while let Some(address) = race.start_next() {
-        let socket = node.addresses.address(address).map(Socket::connect);
-        if let Some(Ok(mut socket)) = socket {
-            if socket.register(registry, token).is_ok() {
-                return Some(Dial { address, socket, started_at: now });
-            }
+        let opened = node.addresses.address(address).map(|at| open_socket(at, registry, token));
+        let cause = match opened {
+            Some(Ok(socket)) => return Ok(Dial { address, socket, started_at: now }),
+            Some(Err(cause)) => cause,
+            None => ErrorCause::Peer,
+        };
+        if cause.is_local() {
+            result = DialError::Local;
+        }
+        if cause != ErrorCause::LocalShortage {
+            node.addresses.connection_failed(address, now);
         }
-        node.addresses.connection_failed(address, now);
         race.attempt_failed(address);
     }
-    None
+    Err(result)
+}
+
+/// Opens a socket that connects to an address.
+fn open_socket(address: &Address, registry: &Registry, token: Token) -> Result<Socket, ErrorCause> {
+    let connected = Socket::connect(address);
+    let mut socket = connected.map_err(|error| match address {
+        Address::Tcp(_) => ErrorCause::of_connect(&error),
+        // EAGAIN says that the node's backlog is full.
+        Address::Unix(_) => ErrorCause::of(&error),
+    })?;
+    socket.register(registry, token).map_err(|error| ErrorCause::of(&error))?;
+    Ok(socket)
 }
 
 impl Boxes {
-    /// Opens a connection to a node, to the required endpoint if there is one. Returns no key if no descriptor is
-    /// free or no address can be dialed.
+    /// Opens a connection to a node, to the required endpoint if there is one. Returns its key.
+    ///
+    /// # Errors
+    /// No descriptor is free, or no address can be dialed.
     pub(super) fn open(
         &mut self,
         server: ServerId,
         required: Option<Endpoint>,
         queued: &QueuedAttempt,
         now: Nanos,
-    ) -> (Option<usize>, Option<NewConnection>) {
+    ) -> Result<(usize, NewConnection), DialError> {
         if self.descriptors() >= self.descriptor_limit && !self.evict_idle() {
-            return (None, None);
+            return Err(DialError::NoDescriptor);
         }
-        let Some(node) = self.nodes.get_mut(&server) else { return (None, None) };
+        let node = self.nodes.get_mut(&server).ok_or(DialError::NoAddress)?;
         let process_started_at = node.entry.started_at;
         let order = match required {
             Some(endpoint) => vec![endpoint.address],
@@ -57,7 +92,7 @@
         let entry = self.connections.vacant_entry();
         let key = entry.key();
         let token = Source::Node(key).token();
-        let Some(link) = dial(node, &mut race, &self.registry, token, now) else { return (None, None) };
+        let link = dial(node, &mut race, &self.registry, token, now)?;
         let remaining = queued.deadline.saturating_sub(now);
         let connection_attempt_delay =
             race.can_start_another().then(|| node.addresses.attempt_delay(link.address, remaining));
@@ -94,7 +129,7 @@
             paused: false,
             has_replied: false,
         });
-        (Some(key), Some(NewConnection { serial: self.last_serial, connection_attempt_delay }))
+        Ok((key, NewConnection { serial: self.last_serial, connection_attempt_delay }))
     }
 
     /// The connection attempt delay is over: dials the next address beside the first, if descriptors allow it.
@@ -115,7 +150,7 @@
         }
         let Some(c) = self.connections.get_mut(key) else { return };
         let Some(node) = self.nodes.get_mut(&c.server) else { return };
-        c.racing_dial = dial(node, &mut c.race, &self.registry, Source::NodeRace(key).token(), now);
+        c.racing_dial = dial(node, &mut c.race, &self.registry, Source::NodeRace(key).token(), now).ok();
         self.racing_dials += usize::from(c.racing_dial.is_some());
     }
 
@@ -137,14 +172,16 @@
     }
 
     /// One of a connection's dials failed: the other one continues, or the next address is dialed.
-    pub(super) fn dial_failed(&mut self, key: usize, is_racing: bool, now: Nanos) {
+    pub(super) fn dial_failed(&mut self, key: usize, is_racing: bool, cause: ErrorCause, now: Nanos) {
         let Some(c) = self.connections.get_mut(key) else { return };
         let Some(node) = self.nodes.get_mut(&c.server) else { return };
         let other = c.racing_dial.take();
         self.racing_dials -= usize::from(other.is_some());
         let failed = if is_racing { other.as_ref().map(|d| d.address) } else { Some(c.link.address) };
         if let Some(id) = failed {
-            node.addresses.connection_failed(id, now);
+            if cause != ErrorCause::LocalShortage {
+                node.addresses.connection_failed(id, now);
+            }
             c.race.attempt_failed(id);
         }
         if is_racing {
@@ -153,9 +190,14 @@
         }
         let token = Source::Node(key).token();
         let other = other.and_then(|mut d| d.socket.reregister(&self.registry, token).ok().map(|()| d));
-        match other.or_else(|| dial(node, &mut c.race, &self.registry, token, now)) {
-            Some(link) => c.link = link,
-            None => {
+        let next = other.map_or_else(|| dial(node, &mut c.race, &self.registry, token, now), Ok);
+        match next {
+            Ok(link) => c.link = link,
+            Err(error) if error == DialError::Local || cause.is_local() => {
+                self.close_and_reassign(key, now);
+                return;
+            }
+            Err(_) => {
                 self.record_refusal(key, now);
                 self.close(key);
                 return;
@@ -171,8 +213,8 @@
         let Some(racing) = &c.racing_dial else { return false };
         match racing.socket.is_up() {
             Ok(false) => return false,
-            Err(_) => {
-                self.dial_failed(key, true, now);
+            Err(error) => {
+                self.dial_failed(key, true, ErrorCause::of_connect(&error), now);
                 return false;
             }
             Ok(true) => {}
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -17,6 +17,7 @@
 mod status;
 #[cfg(test)]
 mod tests;
+mod unopened;
 mod write;
 
 use crate::descriptors::DescriptorBudget;
@@ -35,6 +36,7 @@
 pub use settings::{hello_command, pipeline_config};
 use slab::Slab;
 use std::collections::{BTreeSet, VecDeque};
+use unopened::UnopenedAttempts;
 
 const MS: Nanos = 1_000_000;
 /// Planned connections to one cache node from all proxies together. Nodes accept about thirty, a fuller table takes
@@ -141,6 +143,8 @@
     idle_outcomes: IdleOutcomes,
     last_sweep: Nanos,
     events: VecDeque<NodeEvent>,
+    /// Attempts for which no socket can be opened at the moment.
+    unopened: UnopenedAttempts,
     /// The memory for incomplete replies.
     reply_memory: ReplyMemory,
     /// Connections that may have input without a further readiness event.
@@ -168,6 +172,7 @@
             connections: Slab::new(),
             last_serial: 0,
             attempts_written: 0,
+            unopened: UnopenedAttempts::default(),
             reply_memory: ReplyMemory::new(reply_bytes, hello.is_some()),
             hello,
             max_per_node: 1,
--- a/crates/proxy/src/boxes/placement.rs
+++ b/crates/proxy/src/boxes/placement.rs
@@ -2,6 +2,7 @@
 //! and carries it out.
 
 use super::connection::Connection;
+use super::dial::DialError;
 use super::node::Node;
 use super::{Boxes, NewConnection, NodeEvent, QueuedAttempt};
 use crate::write_history::Endpoint;
@@ -11,12 +12,23 @@
 impl Boxes {
     /// Queues an attempt on a connection. It is written at the end of this turn of the event loop, or once the
     /// connection is established. Returns the connection's key, with its details if it is new; `None` if the attempt
-    /// ended at once.
+    /// ended at once, or waits for a socket.
     pub fn send(
         &mut self,
         server: ServerId,
         queued: QueuedAttempt,
         now: Nanos,
+    ) -> Option<(usize, Option<NewConnection>)> {
+        self.send_or_wait(server, queued, None, now)
+    }
+
+    /// As [`Boxes::send`], for an attempt that waits for a socket until `waits_until` if it has waited before.
+    pub(super) fn send_or_wait(
+        &mut self,
+        server: ServerId,
+        queued: QueuedAttempt,
+        waits_until: Option<Nanos>,
+        now: Nanos,
     ) -> Option<(usize, Option<NewConnection>)> {
         let required = queued.required_endpoint(server, self.repeat_writes_across_addresses);
         let may_be_sent = |node: &Node| required.is_none_or(|endpoint| node.has_endpoint(endpoint));
@@ -24,13 +36,21 @@
             self.end_unsent(queued, Status::NotSent);
             return None;
         }
-        let Some((key, new)) = self.place(server, &queued, required, now) else {
-            let connected = self.nodes.get(&server).is_some_and(|n| !n.connections.is_empty());
-            self.end_unsent(queued, Status::without_connection(connected));
-            return None;
-        };
-        self.enqueue(key, queued, now);
-        Some((key, new))
+        match self.place(server, &queued, required, now) {
+            Ok((key, new)) => {
+                self.enqueue(key, queued, now);
+                Some((key, new))
+            }
+            Err(DialError::Local) => {
+                self.unopened.push(server, queued, waits_until, now);
+                None
+            }
+            Err(DialError::NoAddress | DialError::NoDescriptor) => {
+                let connected = self.nodes.get(&server).is_some_and(|n| !n.connections.is_empty());
+                self.end_unsent(queued, Status::without_connection(connected));
+                None
+            }
+        }
     }
 
     /// Queues an attempt on a connection, and the connection for writing.
@@ -50,14 +70,18 @@
     }
 
     /// Selects the connection for an attempt, opening one if necessary.
+    ///
+    /// # Errors
+    /// There is none, for the reason why none could be opened if it was tried.
     fn place(
         &mut self,
         server: ServerId,
         queued: &QueuedAttempt,
         required: Option<Endpoint>,
         now: Nanos,
-    ) -> Option<(usize, Option<NewConnection>)> {
-        let node = self.nodes.get(&server)?;
+    ) -> Result<(usize, Option<NewConnection>), DialError> {
+        let mut error = DialError::NoAddress;
+        let node = self.nodes.get(&server).ok_or(error)?;
         // A connection that streams a long value is as slow as its client and carries no other attempt meanwhile. Up to
         // `max_per_node` of them do not count against the limit.
         let streaming = |key: &&usize| self.connections.get(**key).is_some_and(|c| c.streaming);
@@ -66,13 +90,14 @@
             && node.connection_limit.allows(node.connections.len(), now);
         let mut place = self.choose(node, queued, required, may_open, now);
         if place == Placement::New {
-            if let (Some(key), new) = self.open(server, required, queued, now) {
-                return Some((key, new));
+            match self.open(server, required, queued, now) {
+                Ok((key, new)) => return Ok((key, Some(new))),
+                Err(reason) => error = reason,
             }
-            // No descriptor is free, or no address could be dialed: choose among the open connections.
-            place = self.choose(self.nodes.get(&server)?, queued, required, false, now);
+            let node = self.nodes.get(&server).ok_or(error)?;
+            place = self.choose(node, queued, required, false, now);
         }
-        place.key().map(|key| (key, None))
+        place.key().map(|key| (key, None)).ok_or(error)
     }
 
     fn latency_context<'a>(&'a self, node: &'a Node) -> LatencyContext<'a> {
--- a/crates/proxy/src/boxes/read.rs
+++ b/crates/proxy/src/boxes/read.rs
@@ -2,6 +2,7 @@
 
 use super::connection::Connection;
 use super::{Boxes, NodeEvent};
+use crate::io_error::ErrorCause;
 use calicosaddle::api::{Nanos, RequestId, Status};
 use pipeline::{LatencyContext, ReplyArrival};
 use resp::{BodyFormat, Protocol, Reply, ReplyKind, ReplyPart, ReplyReader, ServerMessage};
@@ -49,8 +50,8 @@
             match c.link.socket.is_up() {
                 Ok(true) => self.record_connected(key, now),
                 Ok(false) => return,
-                Err(_) => {
-                    self.dial_failed(key, false, now);
+                Err(error) => {
+                    self.dial_failed(key, false, ErrorCause::of_connect(&error), now);
                     return;
                 }
             }
--- a/crates/proxy/src/boxes/write.rs
+++ b/crates/proxy/src/boxes/write.rs
@@ -56,7 +56,8 @@
 impl Boxes {
     /// When the next write is due: at the end of the operator's batch delay or of the first settle delay.
     pub fn next_write_at(&self) -> Option<Nanos> {
-        self.batch_due().into_iter().chain(self.settling.first().map(|(at, _)| *at)).min()
+        let settled = self.settling.first().map(|(at, _)| *at);
+        self.batch_due().into_iter().chain(settled).chain(self.unopened.next_retry()).min()
     }
 
     fn batch_due(&self) -> Option<Nanos> {
@@ -74,6 +75,9 @@
         if self.next_write_at().is_none_or(|at| now < at) {
             return false;
         }
+        if self.unopened.next_retry().is_some_and(|at| at <= now) {
+            self.retry_unopened(now);
+        }
         if self.batch_due().is_some_and(|at| at <= now) {
             while let Some(key) = self.write_queue.pop() {
                 self.check_and_flush(key, now);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 mod event_loop;
 mod front;
 mod gates;
+pub mod io_error;
 mod lifecycle;
 pub mod memory_limits;
 mod metrics;
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -184,7 +184,10 @@
     /// Ends an attempt that the proxy cancels, that timed out, or that is not sent.
     pub(crate) fn end_attempt(&mut self, id: RequestId, attempt: u32, mut status: Status) {
         let Some(a) = self.requests.attempt(id, attempt) else { return };
-        if let Some(connection) = a.connection {
+        if self.boxes.cancel_unopened(id, attempt) {
+            // It waited for a socket of this machine, which is no fault of the node.
+            status = Status::NotSent;
+        } else if let Some(connection) = a.connection {
             if status == Status::Timeout && self.boxes.waits_for_memory(connection) {
                 // The reply waits for this process, which is no fault of the node.
                 status = Status::Cancelled;
