A transfer for which the kernel has no buffer is tried again, and ends no connection

Cause: each error of a transfer but EAGAIN and EINTR ended the connection.

Change: transfers of clients and nodes ask `io_error` what an error means.

Why it works: only errors of the peer end a connection.

--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::descriptors::DescriptorBudget;
 use crate::platform::config::Config;
+use crate::retry_queue::RetryQueue;
 use calicosaddle::api::{Nanos, RequestId, ServerId, Status};
 use connection::Connection;
 pub use connection::QueuedAttempt;
@@ -145,6 +146,8 @@
     events: VecDeque<NodeEvent>,
     /// Attempts for which no socket can be opened at the moment.
     unopened: UnopenedAttempts,
+    /// Connections whose transfers failed for lack of something on this machine.
+    retries: RetryQueue,
     /// The memory for incomplete replies.
     reply_memory: ReplyMemory,
     /// Connections that may have input without a further readiness event.
@@ -173,6 +176,7 @@
             last_serial: 0,
             attempts_written: 0,
             unopened: UnopenedAttempts::default(),
+            retries: RetryQueue::default(),
             reply_memory: ReplyMemory::new(reply_bytes, hello.is_some()),
             hello,
             max_per_node: 1,
--- a/crates/proxy/src/boxes/read.rs
+++ b/crates/proxy/src/boxes/read.rs
@@ -9,7 +9,7 @@
 use rustc_hash::FxHasher;
 use std::collections::BTreeSet;
 use std::hash::{Hash, Hasher};
-use std::io::{self, Read};
+use std::io::Read;
 
 /// A hash of the content of a reply.
 fn reply_fingerprint(reply: &Reply, bytes: &[u8]) -> u64 {
@@ -116,12 +116,18 @@
                         break;
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
-                    self.connection_lost(key, now);
-                    return;
-                }
+                Err(error) => match ErrorCause::of(&error) {
+                    ErrorCause::Interrupted => {}
+                    ErrorCause::WouldBlock => return,
+                    ErrorCause::LocalShortage => {
+                        self.retries.push(key, now);
+                        return;
+                    }
+                    ErrorCause::NoRoute | ErrorCause::Peer => {
+                        self.connection_lost(key, now);
+                        return;
+                    }
+                },
             }
         }
         self.unread.insert(key);
--- a/crates/proxy/src/boxes/write.rs
+++ b/crates/proxy/src/boxes/write.rs
@@ -4,6 +4,7 @@
 use super::connection::Connection;
 use super::node::Node;
 use super::{Boxes, NodeEvent, QueuedAttempt, MAX_IDLE_BUFFER_BYTES, MS};
+use crate::io_error::ErrorCause;
 use crate::write_history::{Endpoint, WrittenAttempt};
 use calicosaddle::api::{Nanos, Status};
 use resp::{HelloReplyParser, Reply};
@@ -57,7 +58,8 @@
     /// When the next write is due: at the end of the operator's batch delay or of the first settle delay.
     pub fn next_write_at(&self) -> Option<Nanos> {
         let settled = self.settling.first().map(|(at, _)| *at);
-        self.batch_due().into_iter().chain(settled).chain(self.unopened.next_retry()).min()
+        let retry = self.unopened.next_retry().into_iter().chain(self.retries.next_due());
+        self.batch_due().into_iter().chain(settled).chain(retry).min()
     }
 
     fn batch_due(&self) -> Option<Nanos> {
@@ -75,6 +77,10 @@
         if self.next_write_at().is_none_or(|at| now < at) {
             return false;
         }
+        while let Some(key) = self.retries.pop_due(now) {
+            self.unread.insert(key);
+            self.flush_if_quiet(key, now);
+        }
         if self.unopened.next_retry().is_some_and(|at| at <= now) {
             self.retry_unopened(now);
         }
@@ -149,15 +155,22 @@
             }
             match c.write_batch() {
                 Ok(bytes) => self.record_written(key, bytes, now),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.return_unstarted(key);
-                    return;
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
-                    self.close(key);
-                    return;
-                }
+                Err(error) => match ErrorCause::of(&error) {
+                    ErrorCause::Interrupted => {}
+                    ErrorCause::WouldBlock => {
+                        self.return_unstarted(key);
+                        return;
+                    }
+                    ErrorCause::LocalShortage => {
+                        self.return_unstarted(key);
+                        self.retries.push(key, now);
+                        return;
+                    }
+                    ErrorCause::NoRoute | ErrorCause::Peer => {
+                        self.close(key);
+                        return;
+                    }
+                },
             }
         }
     }
--- a/crates/proxy/src/front/clients/answers.rs
+++ b/crates/proxy/src/front/clients/answers.rs
@@ -2,10 +2,10 @@
 
 use super::output::RepeatedAnswer;
 use super::{ClientEvent, Clients, Slot, WaitingSlot};
+use crate::io_error::ErrorCause;
 use crate::request::{Answer, ReplySlot};
 use calicosaddle::api::Nanos;
 use resp::Protocol;
-use std::io;
 
 /// What a client was given as the answer to its request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -106,15 +106,21 @@
         while client.output.unwritten_bytes() > 0 {
             match client.output.write_to(&mut client.stream) {
                 Ok(_) => (client.active_at, client.blocked_since) = (now, None),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    client.blocked_since.get_or_insert(now);
-                    break;
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
-                    self.remove(key);
-                    return;
-                }
+                Err(error) => match ErrorCause::of(&error) {
+                    ErrorCause::Interrupted => {}
+                    ErrorCause::WouldBlock => {
+                        client.blocked_since.get_or_insert(now);
+                        break;
+                    }
+                    ErrorCause::LocalShortage => {
+                        self.retries.push(key, now);
+                        break;
+                    }
+                    ErrorCause::NoRoute | ErrorCause::Peer => {
+                        self.remove(key);
+                        return;
+                    }
+                },
             }
         }
         self.account(key);
--- a/crates/proxy/src/front/clients/commands.rs
+++ b/crates/proxy/src/front/clients/commands.rs
@@ -2,6 +2,7 @@
 
 use super::waiting::MemoryWait;
 use super::{Client, ClientEvent, Clients, Slot, WaitingSlot, BUSY_REPLY};
+use crate::io_error::ErrorCause;
 use crate::platform::config::Config;
 use crate::request::{Query, ReplySlot};
 use calicosaddle::api::Nanos;
@@ -9,7 +10,7 @@
 use session::CommandOutcome;
 use std::borrow::Cow;
 use std::collections::BTreeSet;
-use std::io::{self, Read};
+use std::io::Read;
 use std::rc::Rc;
 
 /// The maximum number of unanswered commands and queued answers of a client, per command that it may have open. The
@@ -62,15 +63,22 @@
                         break;
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.has_caught_up(key);
-                    return;
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => {
-                    self.remove(key);
-                    return;
-                }
+                Err(error) => match ErrorCause::of(&error) {
+                    ErrorCause::Interrupted => {}
+                    ErrorCause::WouldBlock => {
+                        self.has_caught_up(key);
+                        return;
+                    }
+                    ErrorCause::LocalShortage => {
+                        self.retries.push(key, now);
+                        self.left_unread(key, now);
+                        return;
+                    }
+                    ErrorCause::NoRoute | ErrorCause::Peer => {
+                        self.remove(key);
+                        return;
+                    }
+                },
             }
         }
         self.pending_reads.insert(key);
--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -13,6 +13,7 @@
 use crate::memory_limits::MemoryLimits;
 use crate::platform::config::Config;
 use crate::request::{Query, ReplySlot};
+use crate::retry_queue::RetryQueue;
 pub use answers::GivenAnswer;
 use calicosaddle::api::{Nanos, RequestId};
 use memory::AnswerMemory;
@@ -223,6 +224,8 @@
     dirty: Vec<usize>,
     /// Connections whose commands wait for memory, in the order in which they began to wait.
     waiting_for_memory: VecDeque<usize>,
+    /// Connections whose transfers failed for lack of something on this machine.
+    retries: RetryQueue,
     /// Connections whose input has not been read up.
     unread_clients: UnreadClients,
     /// Connections that may have unread input. Each is read once in an iteration of the event loop, however often it was
@@ -260,6 +263,7 @@
             stopping: false,
             dirty: Vec::new(),
             waiting_for_memory: VecDeque::new(),
+            retries: RetryQueue::default(),
             unread_clients: UnreadClients::default(),
             pending_reads: BTreeSet::new(),
             events: VecDeque::new(),
@@ -286,6 +290,19 @@
         !self.pending_reads.is_empty() || (self.accepting && self.can_accept())
     }
 
+    /// When a client has to be handled without an event.
+    pub fn next_work_at(&self) -> Option<Nanos> {
+        self.next_refusal_at().into_iter().chain(self.retries.next_due()).min()
+    }
+
+    /// Tries transfers again that failed for lack of something on this machine.
+    pub fn retry_transfers(&mut self, now: Nanos) {
+        while let Some(key) = self.retries.pop_due(now) {
+            self.flush(key, now);
+            self.pending_reads.insert(key);
+        }
+    }
+
     /// Closes our sending side between requests, and waits up to [`LINGER_TIMEOUT`] for the client to close its own.
     fn linger(&mut self, key: usize, now: Nanos) {
         let Some(client) = self.clients.get_mut(key).filter(|c| c.lingering_since.is_none()) else { return };
--- a/crates/proxy/src/front/clients/unread.rs
+++ b/crates/proxy/src/front/clients/unread.rs
@@ -111,7 +111,7 @@
     }
 
     /// When the next client has been unread for too long, or has waited too long for memory.
-    pub fn next_refusal_at(&self) -> Option<Nanos> {
+    pub(super) fn next_refusal_at(&self) -> Option<Nanos> {
         let unread = self.unread_clients.0.front().map(|(begun, _)| begun + HALF_CLOSE_GRACE);
         let waits = self.waiting_for_memory.iter().filter_map(|key| self.clients.get(*key)?.memory_wait);
         unread.into_iter().chain(waits.map(|wait| wait.until())).min()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,6 +17,7 @@
 mod observers;
 mod platform;
 mod request;
+mod retry_queue;
 mod shadow_traffic;
 mod streaming;
 mod timers;
@@ -230,7 +231,7 @@
             let control_due = self.control.as_ref().and_then(ControlEndpoint::work_due);
             let work_due = control_due.into_iter().chain(self.boxes.next_write_at());
             let work_due = work_due.chain([self.discovery.next_wakeup()]);
-            let work_due = work_due.chain(self.clients.next_refusal_at()).min();
+            let work_due = work_due.chain(self.clients.next_work_at()).min();
             if self.event_loop.wait(&mut events, work_due, has_more)? {
                 self.run_iteration(&events);
             }
@@ -318,6 +319,7 @@
     /// Writes to clients that can take more of their answers, and reads from clients. The clock is read again for each
     /// socket, as in [`Proxy::read_nodes`].
     fn read_clients(&mut self, events: &Events) {
+        self.clients.retry_transfers(self.event_loop.now);
         self.clients.refuse_overdue(self.event_loop.now);
         for key in self.clients.take_pending_reads() {
             self.clients.read(key, &self.config, &mut self.buffer, self.event_loop.now);
