--- a/crates/proxy/src/front/admin.rs
+++ b/crates/proxy/src/front/admin.rs
@@ -5,6 +5,7 @@
 //! else the oldest; and input after the line is read and dropped. Too many simultaneous callers would evict each other,
 //! but since an answer takes one iteration of the event loop, only a flood of them does.
 
+use crate::platform::start::open_at_start;
 use calicosaddle::api::Nanos;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
@@ -77,7 +78,7 @@
             registry.register(&mut listener, token, Interest::READABLE)?;
             Ok(listener)
         };
-        let listener = open().map_err(|e| format!("admin_addr {address}: {e}"))?;
+        let listener = open_at_start(open).map_err(|e| format!("admin_addr {address}: {e}"))?;
         Ok(Admin { listener, callers: Slab::new(), accepting: false })
     }
 
--- a/crates/proxy/src/front/control.rs
+++ b/crates/proxy/src/front/control.rs
@@ -4,6 +4,7 @@
 //! unread replies, and all waits are limited, and the endpoint gets at most a tenth of the event loop's time. With a
 //! controller that sends requests in a tight loop the endpoint responds slowly, but the service to clients does not.
 
+use crate::platform::start::open_at_start;
 use calicosaddle::api::Nanos;
 use control::message::{encode_line, Body, Code, Error, Status};
 use control::{Decoder, Op, Reply, Request, State, MAX_REPLY, MAX_REQUEST, VERSION};
@@ -166,7 +167,7 @@
             return Err(error("is there and is no socket; name another path".into()))
         }
         // A socket that refuses connections was left by a process that was killed.
-        Ok(_) => match std::os::unix::net::UnixStream::connect(path) {
+        Ok(_) => match open_at_start(|| std::os::unix::net::UnixStream::connect(path)) {
             Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
                 fs::remove_file(path).map_err(|e| error(format!("left behind, can't be removed: {e}")))?;
             }
@@ -176,7 +177,7 @@
     }
     // The umask restricts the socket to its owner from its creation on, before its mode is set below.
     let old_mask = rustix::process::umask(rustix::fs::Mode::from_raw_mode(0o177));
-    let listener = UnixListener::bind(path);
+    let listener = open_at_start(|| UnixListener::bind(path));
     rustix::process::umask(old_mask);
     let listener = listener.map_err(|e| error(format!("can't be made: {e}")))?;
     fs::set_permissions(path, fs::Permissions::from_mode(0o600))
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -43,6 +43,7 @@
 use platform::inherited;
 use platform::shared_ids::SharedIds;
 use platform::signals::Signals;
+use platform::start::open_at_start;
 use request::RequestTable;
 use shadow_traffic::ShadowTraffic;
 use std::collections::VecDeque;
@@ -124,9 +125,10 @@
     ) -> Result<Self, Box<dyn std::error::Error>> {
         let inherited = config.inherited_listener.as_deref().map(inherited::take_listener).transpose()?;
         let shared_ids = inherited.as_ref().and_then(open_shared_ids);
-        let event_loop = EventLoop::new()?;
+        let event_loop = open_at_start(EventLoop::new)?;
         let (registry, now) = (event_loop.registry(), event_loop.now);
-        let signals = Signals::listen(registry, Source::Sigterm.token(), Source::Sighup.token())?;
+        let signals =
+            open_at_start(|| Signals::listen(registry, Source::Sigterm.token(), Source::Sighup.token()))?;
         let descriptor_budget =
             DescriptorBudget::new(config.max_descriptors, reserved_descriptors(&config, operator));
         let memory = MemoryLimits::new(config.memory_mb, config.max_descriptors);
@@ -145,7 +147,7 @@
         );
         let drained = persisted.state.drained;
         if !drained {
-            clients.listen(registry, Source::ClientListener.token())?;
+            open_at_start(|| clients.listen(registry, Source::ClientListener.token()))?;
         }
         let admin_token = Source::AdminListener.token();
         let admin = config.admin.map(|a| Admin::open(a, registry, admin_token)).transpose()?;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -33,7 +33,7 @@
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
     let options = parse_options(std::env::args_os().skip(1))?;
-    let config = Config::from_env()?;
+    let config = Config::from_env_at_start()?;
     let operator = match &options.operator {
         Some(file) => Operator::load(file, &config.name)?,
         None => Operator::default(),
--- a/crates/proxy/src/platform/config.rs
+++ b/crates/proxy/src/platform/config.rs
@@ -2,10 +2,12 @@
 
 use super::discovery::{self, ListUpdate, TopologyNames};
 use super::inherited;
+use super::start::open_at_start;
 use calicosaddle::api::{Nanos, Settings};
 
 use serde_json::Value;
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 
 const MS: Nanos = 1_000_000;
@@ -91,8 +93,21 @@
     /// # Errors
     /// The file can't be read, or its content can't be used.
     pub fn from_env() -> Result<Config, ConfigError> {
+        Config::read(|path| std::fs::read_to_string(path))
+    }
+
+    /// As [`Config::from_env`], at the start of a process: waits while this machine lacks something for reading the file.
+    ///
+    /// # Errors
+    /// As for [`Config::from_env`].
+    pub fn from_env_at_start() -> Result<Config, ConfigError> {
+        Config::read(|path| open_at_start(|| std::fs::read_to_string(path)))
+    }
+
+    /// Reads the file that the environment names by `read`.
+    fn read(read: impl Fn(&str) -> io::Result<String>) -> Result<Config, ConfigError> {
         let path = std::env::var("NODE_CONFIG").map_err(|_| ConfigError::MissingVariable("NODE_CONFIG"))?;
-        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
+        let text = read(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
         Config::parse(&text, |name| std::env::var(name).ok())
     }
 
--- a/crates/proxy/src/platform/mod.rs
+++ b/crates/proxy/src/platform/mod.rs
@@ -5,3 +5,4 @@
 pub mod inherited;
 pub mod shared_ids;
 pub mod signals;
+pub mod start;
