A reload is made again while the configuration can't be read for a moment

What callers saw: drains that were learned late. After SIGHUP the proxy read its configuration once; where open(2) failed with ENFILE it kept the old address of discovery, which takes no new connections and ends the open ones.

Cause: a shortage of this machine was treated like a file that is not valid.

Why it works: the platform replaces the file atomically, so what is read later is what SIGHUP was for, or newer.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,6 +26,7 @@
 pub use observers::Subscriber;
 pub use platform::config;
 
+use crate::io_error::LOCAL_RETRY_DELAY;
 use boxes::Boxes;
 use calicosaddle::api::*;
 use calicosaddle::Balancer;
@@ -423,6 +424,10 @@
     fn reload(&mut self) {
         self.signals.clear_hangup();
         match Config::from_env() {
+            Err(e) if e.is_local_shortage() => {
+                let retry_at = self.event_loop.now + LOCAL_RETRY_DELAY;
+                self.event_loop.timers.set(retry_at, TimerEvent::RetryReload);
+            }
             Err(e) => eprintln!("reload: {e}; keeping the current configuration"),
             Ok(new) if new.discovery == self.config.discovery => {
                 eprintln!("reload: discovery stays at {}", new.discovery);
@@ -456,6 +461,7 @@
                 TimerEvent::ConnectTimeout(key, serial) => self.boxes.connect_timeout(key, serial, now),
                 TimerEvent::ConnectionAttemptDelay(key, serial) => self.boxes.start_race(key, serial, now),
                 TimerEvent::ResumeAccept => self.clients.listener_ready(),
+                TimerEvent::RetryReload => self.reload(),
                 TimerEvent::ShadowTimeout(number) => {
                     self.shadow_traffic.iter_mut().for_each(|s| s.copy_timeout(number, now));
                 }
--- a/crates/proxy/src/platform/config.rs
+++ b/crates/proxy/src/platform/config.rs
@@ -3,6 +3,7 @@
 use super::discovery::{self, ListUpdate, TopologyNames};
 use super::inherited;
 use super::start::open_at_start;
+use crate::io_error::ErrorCause;
 use calicosaddle::api::{Nanos, Settings};
 
 use serde_json::Value;
@@ -42,6 +43,18 @@
 
 impl std::error::Error for ConfigError {}
 
+impl ConfigError {
+    /// Whether the file could not be read for lack of something on this machine, which may pass.
+    pub fn is_local_shortage(&self) -> bool {
+        match self {
+            ConfigError::Unreadable(_, error) => {
+                matches!(ErrorCause::of(error), ErrorCause::LocalShortage | ErrorCause::Interrupted)
+            }
+            ConfigError::MissingVariable(_) | ConfigError::InvalidJson(_) | ConfigError::Invalid(_) => false,
+        }
+    }
+}
+
 /// The configuration of a proxy.
 #[derive(Debug)]
 pub struct Config {
--- a/crates/proxy/src/timers.rs
+++ b/crates/proxy/src/timers.rs
@@ -27,6 +27,8 @@
     Sweep,
     /// Accepting resumes after descriptors ran out.
     ResumeAccept,
+    /// The configuration is read again, which this machine could not do for a moment.
+    RetryReload,
 }
 
 /// Timers ordered by expiry. They cannot be cancelled: the handler of an event ignores one that no longer applies.
--- a/crates/proxy/tests/system_calls.rs
+++ b/crates/proxy/tests/system_calls.rs
@@ -1,6 +1,6 @@
 //! System calls that fail for a moment or do a part of their work, by a library that is preloaded into the built binary.
 
-use serde_json::json;
+use serde_json::{json, Value};
 use std::time::{Duration, Instant};
 use testkit::scripted::*;
 
@@ -250,6 +250,24 @@
     }
 }
 
+/// Guards against a new configuration that is given up because its file could not be opened for a moment.
+#[test]
+fn a_reload_is_made_again_while_the_file_can_not_be_opened() {
+    for seed in SEEDS {
+        let discoveries: Vec<Server> = (0..4).map(|_| Server::start()).collect();
+        let rules = "open ENFILE 0.7 after=500; socket ENFILE 0.2 after=500";
+        let proxy = Proxy::faulty(&nodes(), rules, seed, |c| subscribed(c, &discoveries[0]));
+        discoveries[0].accept().request();
+        std::thread::sleep(Duration::from_millis(500));
+        for discovery in &discoveries[1..] {
+            let mut next: Value = serde_json::from_str(&proxy.text()).expect("a configuration");
+            next["discovery"] = json!(discovery.addresses[0].to_string());
+            proxy.reload(&next.to_string());
+            discovery.accept().request();
+        }
+    }
+}
+
 /// Guards against deadlines, windows and waits that are counted by the wall clock.
 #[test]
 fn steps_of_the_wall_clock_change_nothing() {
--- a/crates/testkit/shim/src/lib.rs
+++ b/crates/testkit/shim/src/lib.rs
@@ -199,6 +199,7 @@
 type Socket = unsafe extern "C" fn(c_int, c_int, c_int) -> c_int;
 type Connect = unsafe extern "C" fn(c_int, *const c_void, c_uint) -> c_int;
 type Listen = unsafe extern "C" fn(c_int, c_int) -> c_int;
+type Open = unsafe extern "C" fn(*const c_char, c_int, ...) -> c_int;
 type Wait = unsafe extern "C" fn(c_int, *mut c_void, c_int, c_int) -> c_int;
 type ClockTime = unsafe extern "C" fn(c_int, *mut TimeSpec) -> c_int;
 type Synchronise = unsafe extern "C" fn(c_int) -> c_int;
@@ -360,6 +361,17 @@
     error("epoll_wait", None).map_or_else(|| next(poll, events, count, timeout), fail)
 }
 
+/// open(2), as the standard library calls it.
+///
+/// # Safety
+/// As for the C library's function. It has a variable number of arguments, of which the third one is passed like a fixed one on
+/// Linux.
+#[no_mangle]
+pub unsafe extern "C" fn open64(path: *const c_char, flags: c_int, mode: c_uint) -> c_int {
+    let next = next!("open64", Open);
+    error("open", None).map_or_else(|| next(path, flags, mode), fail)
+}
+
 /// fsync(2)
 ///
 /// # Safety
