The age of a cache node is bounded by when it was listed, whatever the wall clock says

What callers would see: cold nodes that fall under full load.

Cause: the age of a node was its start, which discovery tells as Unix time, against the proxy's clock, whose origin is the wall clock at the proxy's start.

Change: `StartTimes` gives the balancer the start of each process within bounds that need no clock: not after its listing, and no more than 2 s before it where the answers of discovery show when that was. Identities stay as stated.

Why it works: both bounds are taken from the monotonic clock of this process. Open: the first list after a start.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -45,6 +45,7 @@
 use platform::shared_ids::SharedIds;
 use platform::signals::Signals;
 use platform::start::open_at_start;
+use platform::start_times::StartTimes;
 use request::RequestTable;
 use shadow_traffic::ShadowTraffic;
 use std::collections::VecDeque;
@@ -85,6 +86,8 @@
     observers: Observers,
     boxes: Boxes,
     discovery: Discovery,
+    /// When the processes of cache nodes were started.
+    start_times: StartTimes,
     /// Events that the balancer has not seen yet.
     pending_events: VecDeque<Event>,
     /// Reused between calls of the balancer.
@@ -179,6 +182,7 @@
                 memory.replies,
             ),
             discovery: Discovery::new(&config, version, now, discovery_tokens),
+            start_times: StartTimes::default(),
             pending_events: VecDeque::new(),
             actions: Vec::new(),
             buffer: vec![0; READ_BUFFER_BYTES],
@@ -416,7 +420,10 @@
         self.update_candidates();
         self.observers.notify(Notification::List);
         self.change_count += 1;
-        update.hosts.into_iter().map(|h| h.entry).collect()
+        let (unlisted_until, now) = (self.discovery.unlisted_until(), self.event_loop.now);
+        let mut entries: Vec<ServerEntry> = update.hosts.into_iter().map(|h| h.entry).collect();
+        entries.iter_mut().for_each(|entry| self.start_times.correct(entry, unlisted_until, now));
+        entries
     }
 
     /// Reads the configuration file again and applies the address of discovery; all other settings take effect at the
--- a/crates/proxy/src/platform/discovery.rs
+++ b/crates/proxy/src/platform/discovery.rs
@@ -210,6 +210,8 @@
     started_at: Nanos,
     /// When discovery last responded with a valid list.
     updated_at: Option<Nanos>,
+    /// Until when the list did not have the changes of the last response.
+    unlisted_until: Option<Nanos>,
     /// The number of consecutive lists that were older than the one in force.
     older_lists: u32,
     tokens: [Token; MAX_POLLS],
@@ -230,6 +232,7 @@
             version,
             started_at: now,
             updated_at: None,
+            unlisted_until: None,
             older_lists: 0,
             tokens,
             max_body: ((config.memory_mb << 20) / BODY_MEMORY_DIVISOR).max(MIN_BODY_LIMIT_BYTES as u64)
@@ -257,6 +260,11 @@
         (self.version, self.updated_at)
     }
 
+    /// Until when the list did not have the changes of the last response; `None` if that is not known.
+    pub fn unlisted_until(&self) -> Option<Nanos> {
+        self.unlisted_until
+    }
+
     /// When the next poll is due.
     pub fn next_wakeup(&self) -> Nanos {
         self.scheduler.next_wakeup()
@@ -343,6 +351,9 @@
             eprintln!("discovery: first list {elapsed_ms} ms after the start, version {}", update.version);
         }
         let is_newer = self.version != Some(update.version);
+        // Discovery answers a long poll as soon as there is something newer. A replaced poll may be answered late.
+        let is_prompt = is_latest && was_long;
+        self.unlisted_until = self.updated_at.map(|before| if is_prompt { now } else { before });
         (self.version, self.updated_at) = (Some(update.version), Some(now));
         if let Some(wait) = self.scheduler.list_received(now, is_latest) {
             // The next long poll starts at once: discovery counts a poll more than 200 ms after the last response as a
--- a/crates/proxy/src/platform/mod.rs
+++ b/crates/proxy/src/platform/mod.rs
@@ -6,3 +6,4 @@
 pub mod shared_ids;
 pub mod signals;
 pub mod start;
+pub mod start_times;
