Once an attempt's long value has begun, no other attempt writes to its client

Cause: parts of a value were matched to their client by the request alone, and a second attempt that can't be cancelled may bring a long value, too.

Change: the parts, the end and the break of a long value carry the number of their attempt.

Why it works: only the attempt that began the value is recorded with it. The new test failed on the code before ("bytes of the other value") and passes, as do all tests of long values.

--- a/crates/proxy/src/boxes/close.rs
+++ b/crates/proxy/src/boxes/close.rs
@@ -136,7 +136,7 @@
             broke = true;
             uncertain += u64::from(fate == DisconnectOutcome::Unknown);
             self.events.push_back(match fate {
-                _ if streaming == Some(tag) => NodeEvent::ValueTruncated(tag.0),
+                _ if streaming == Some(tag) => NodeEvent::ValueTruncated(tag.0, tag.1),
                 DisconnectOutcome::Unknown => NodeEvent::Ended(tag.0, tag.1, status, Reply::default()),
                 DisconnectOutcome::NotWritten => {
                     NodeEvent::Ended(tag.0, tag.1, Status::ConnectFailed, Reply::default())
--- a/crates/proxy/src/boxes/mod.rs
+++ b/crates/proxy/src/boxes/mod.rs
@@ -70,12 +70,12 @@
     Served(RequestId, u32, Reply, Vec<u8>, Option<Nanos>),
     /// An attempt is being served with a long value: the connection's key, what the value is and its length.
     ValueStarted(RequestId, u32, usize, BodyFormat, usize),
-    /// The next bytes of a long value.
-    ValueBytes(RequestId, Vec<u8>),
-    /// The end of a long value, with the rest of its reply.
-    ValueComplete(RequestId, Reply),
-    /// A long value broke off before its end.
-    ValueTruncated(RequestId),
+    /// The next bytes of an attempt's long value.
+    ValueBytes(RequestId, u32, Vec<u8>),
+    /// The end of an attempt's long value, with the rest of its reply.
+    ValueComplete(RequestId, u32, Reply),
+    /// An attempt's long value broke off before its end.
+    ValueTruncated(RequestId, u32),
     /// An attempt was moved to another connection, which may be new.
     Reassigned(RequestId, u32, usize, Option<NewConnection>),
     /// A node sent an out-of-band push.
--- a/crates/proxy/src/boxes/read.rs
+++ b/crates/proxy/src/boxes/read.rs
@@ -242,7 +242,7 @@
         }
         let Some((id, attempt)) = answered.tag else { return true };
         self.events.push_back(match reply.kind {
-            _ if streamed => NodeEvent::ValueComplete(id, reply),
+            _ if streamed => NodeEvent::ValueComplete(id, attempt, reply),
             ReplyKind::Served => {
                 let response_time = (!answered.pipelined).then_some(answered.latency);
                 NodeEvent::Served(id, attempt, reply, bytes, response_time)
@@ -302,7 +302,7 @@
                 self.events.push_back(NodeEvent::ValueStarted(id, attempt, key, shape, length));
             }
             if c.streaming && !part.bytes.is_empty() {
-                self.events.push_back(NodeEvent::ValueBytes(id, part.bytes));
+                self.events.push_back(NodeEvent::ValueBytes(id, attempt, part.bytes));
             }
         }
         part.tail
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -228,16 +228,16 @@
                 // If the attempt has been cancelled since, another one may be answering the request.
                 if self.requests.attempt(id, attempt).is_some() {
                     let shadowed = self.query_to_shadow(id);
-                    self.start_stream(id, connection, format, length);
+                    self.start_stream(id, attempt, connection, format, length);
                     if let Some(query) = shadowed {
                         self.shadow_long_value(&query, length);
                     }
                 }
                 self.attempt_ended(id, attempt, Status::Ok, &resp::Reply::default());
             }
-            boxes::NodeEvent::ValueBytes(id, bytes) => self.forward_part(id, &bytes),
-            boxes::NodeEvent::ValueComplete(id, reply) => self.finish_stream(id, &reply),
-            boxes::NodeEvent::ValueTruncated(id) => self.abort_stream(id),
+            boxes::NodeEvent::ValueBytes(id, attempt, bytes) => self.forward_part(id, attempt, &bytes),
+            boxes::NodeEvent::ValueComplete(id, attempt, reply) => self.finish_stream(id, attempt, &reply),
+            boxes::NodeEvent::ValueTruncated(id, attempt) => self.abort_stream(id, attempt),
             boxes::NodeEvent::Reassigned(id, attempt, connection, new) => {
                 self.assign_connection(id, attempt, connection, new);
             }
--- a/crates/proxy/src/streaming.rs
+++ b/crates/proxy/src/streaming.rs
@@ -18,6 +18,8 @@
 struct StreamedValue {
     slot: ReplySlot,
     class: u32,
+    /// The attempt whose value it is. Another one may bring a value, too, where attempts can't be cancelled.
+    attempt: u32,
     /// The node connection that it arrives on.
     connection: usize,
 }
@@ -32,6 +34,11 @@
         self.0.contains_key(&id)
     }
 
+    /// The value of a request, if it is this attempt's.
+    fn of_attempt(&self, id: RequestId, attempt: u32) -> Option<&StreamedValue> {
+        self.0.get(&id).filter(|value| value.attempt == attempt)
+    }
+
     /// The number of values being streamed.
     pub fn len(&self) -> usize {
         self.0.len()
@@ -39,11 +46,12 @@
 }
 
 impl Proxy {
-    /// Begins to stream a value that starts to arrive on a node connection. If its request is already answered, the
-    /// value is dropped as it arrives.
+    /// Begins to stream an attempt's value that starts to arrive on a node connection. If its request is already answered,
+    /// the value is dropped as it arrives.
     pub(crate) fn start_stream(
         &mut self,
         id: RequestId,
+        attempt: u32,
         connection: usize,
         format: BodyFormat,
         length: usize,
@@ -52,12 +60,12 @@
         // Another request with its id would be taken for it until the value is complete.
         self.requests.keep_id(id);
         self.clients.begin_value(slot, format, length);
-        self.streamed_values.0.insert(id, StreamedValue { slot, class, connection });
+        self.streamed_values.0.insert(id, StreamedValue { slot, class, attempt, connection });
     }
 
     /// Forwards a part of a value, and stops reading from the node if the client cannot take more.
-    pub(crate) fn forward_part(&mut self, id: RequestId, bytes: &[u8]) {
-        let Some(value) = self.streamed_values.0.get(&id) else { return };
+    pub(crate) fn forward_part(&mut self, id: RequestId, attempt: u32, bytes: &[u8]) {
+        let Some(value) = self.streamed_values.of_attempt(id, attempt) else { return };
         if !self.clients.append_value(value.slot, bytes) {
             self.boxes.set_paused(value.connection, id, true, self.event_loop.now);
         }
@@ -78,14 +86,20 @@
     }
 
     /// Completes a value that has arrived in full.
-    pub(crate) fn finish_stream(&mut self, id: RequestId, reply: &Reply) {
+    pub(crate) fn finish_stream(&mut self, id: RequestId, attempt: u32, reply: &Reply) {
+        if self.streamed_values.of_attempt(id, attempt).is_none() {
+            return;
+        }
         let Some(value) = self.end_stream(id) else { return };
         self.observers.notify(Notification::Answered(FinalResult::Served, value.class));
         self.clients.finish_value(value.slot, reply);
     }
 
     /// Fails a value that broke off at the node, with the client's connection if a part has been passed on.
-    pub(crate) fn abort_stream(&mut self, id: RequestId) {
+    pub(crate) fn abort_stream(&mut self, id: RequestId, attempt: u32) {
+        if self.streamed_values.of_attempt(id, attempt).is_none() {
+            return;
+        }
         let Some(value) = self.end_stream(id) else { return };
         self.observers.notify(Notification::Answered(FinalResult::Failed, value.class));
         self.clients.abort_value(value.slot);
--- a/crates/proxy/tests/long.rs
+++ b/crates/proxy/tests/long.rs
@@ -437,3 +437,29 @@
     assert!(received.starts_with(&before), "{} of {} bytes came", received.len(), before.len());
     assert!(received.len() < before.len() + VALUE_BYTES, "a value that broke off looks whole");
 }
+
+/// Guards against a client's value that is mixed from those of two attempts, where an attempt may not be cancelled.
+#[test]
+fn only_the_attempt_whose_value_has_begun_writes_to_the_client() {
+    const LONG_BYTES: usize = 400_000;
+    let nodes = Server::many(2);
+    let proxy = Proxy::with(&nodes, |c| {
+        c["settings"]["caps"]["cancelling"] = json!(false);
+        c["settings"]["categories"][0]["promise_ns"] = json!(200_000_000u64);
+    });
+    let mut client = proxy.client();
+    client.get(1, "read", 15_000);
+    // The first attempt is overdue, and a second one is sent.
+    let mut first = nodes.command().0;
+    let mut second = nodes.command().0;
+    let value = |byte: &str| byte.repeat(LONG_BYTES);
+    first.send(response_head(LONG_BYTES) + &value("a")[..LONG_BYTES / 2]);
+    assert_eq!(client.take(response_head(LONG_BYTES).len()), response_head(LONG_BYTES).as_bytes());
+    second.send(response_head(LONG_BYTES) + &value("b") + RESPONSE_TAIL);
+    std::thread::sleep(Duration::from_millis(200));
+    first.send(&value("a")[LONG_BYTES / 2..]);
+    first.send(RESPONSE_TAIL);
+    assert!(client.take(LONG_BYTES).iter().all(|byte| *byte == b'a'), "bytes of the other value");
+    assert_eq!(client.take(RESPONSE_TAIL.len()), RESPONSE_TAIL.as_bytes());
+    proxy.assert_serving();
+}
