--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -230,6 +230,13 @@
         std::mem::take(&mut self.input)
     }
 
+    /// Returns all bytes up to the end or the reset of the connection, or until nothing comes for a while.
+    pub fn rest_until_reset(&mut self) -> Vec<u8> {
+        let mut bytes = std::mem::take(&mut self.input);
+        let _ = self.stream.read_to_end(&mut bytes);
+        bytes
+    }
+
     /// Waits for input and discards it; returns false at the end of the connection.
     pub fn stream_is_open(&mut self) -> bool {
         let open = self.read_more();
