After SIGTERM a process answers all that it takes, and takes what it can answer

Cause: nothing said what is still taken. Commands were sent on up to the end of the process, which was computed from the longest deadline, and input behind the shutdown of a connection was read and dropped.

Change: the times of the end are a state without sockets. Once the window for new connections is over, only commands that had begun are sent on, others are refused; deadlines are cut to what the platform waits for, and what is open then is refused or failed at once. Behind the end of a connection nothing is read.

Why it works: each command that is read has an answer by then, and what is not read resets its connection, so that its client sends it again.

--- a/crates/proxy/src/front/clients/answers.rs
+++ b/crates/proxy/src/front/clients/answers.rs
@@ -161,8 +161,11 @@
         }
         if client.eof {
             self.remove(key);
-        } else if client.closing || (self.stopping && !client.parser.in_progress()) {
+        } else if client.closing || self.ending || (self.stopping && client.is_closable()) {
             self.linger(key, now);
+        } else if self.stopping && !client.parser.in_progress() {
+            // It has sent another command, which is answered first.
+            self.pending_reads.insert(key);
         }
     }
 }
--- a/crates/proxy/src/front/clients/commands.rs
+++ b/crates/proxy/src/front/clients/commands.rs
@@ -32,7 +32,7 @@
         let least = self.commands_read_limit();
         for _ in 0..MAX_READS {
             let has_room = self.may_be_read(key);
-            let Some(client) = self.clients.get_mut(key).filter(|c| !c.eof) else { return };
+            let Some(client) = self.clients.get_mut(key).filter(|c| c.may_be_read()) else { return };
             if client.parser.waits_for_memory() {
                 return;
             }
@@ -158,6 +158,7 @@
 
     fn handle_command(&mut self, key: usize, command: Command, config: &Config, now: Nanos) {
         let Some(client) = self.clients.get_mut(key) else { return };
+        let accepted_at_end = std::mem::take(&mut client.completes_command) && !self.ending;
         if client.is_refusing {
             self.refuse(key, command, config);
             return;
@@ -174,7 +175,9 @@
         let memory_wait = client.memory_wait.take();
         // The client may have left long ago: the end of its stream could not be seen while the value waited.
         let has_left = (memory_wait.is_some() && client.is_at_end_of_input()) || client.may_have_left(now);
-        let may_be_sent = command.is_complete() && !has_left && client.slots.len() < self.max_open_commands;
+        let is_in_time = !self.stopping || accepted_at_end;
+        let may_be_sent =
+            command.is_complete() && !has_left && is_in_time && client.slots.len() < self.max_open_commands;
         let query = Query::parse(command, config).map_err(Cow::from).and_then(|query| {
             client.session.check_tenant(query.tenant, &self.users).map_err(Cow::from).map(|()| query)
         });
--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -142,6 +142,8 @@
     unread: Option<UnreadInput>,
     /// Its commands are refused until all its input has been read.
     is_refusing: bool,
+    /// When the clients were stopped, it had sent a part of a command, which is still accepted.
+    completes_command: bool,
     /// Input behind the part of a command whose value waits for memory.
     pending: Vec<u8>,
     /// The value of the command that is being read waits for memory, or has waited.
@@ -174,11 +176,18 @@
             read_suspended: false,
             unread: None,
             is_refusing: false,
+            completes_command: false,
             pending: Vec::new(),
             memory_wait: None,
         }
     }
 
+    /// Whether its input is read. Behind the end of a connection between commands it is not: a request that crosses the end
+    /// can't be answered any more, and its client sends it again if the connection is reset over it.
+    fn may_be_read(&self) -> bool {
+        !self.eof && (self.lingering_since.is_none() || self.closing)
+    }
+
     /// The number of bytes of answers that have not been written to its socket.
     fn unread_bytes(&self) -> usize {
         self.output.unwritten_bytes() + self.queued_bytes
@@ -218,8 +227,10 @@
     answer_memory: AnswerMemory,
     /// The listener may have connections to accept.
     accepting: bool,
-    /// Requests are still accepted, but each connection is closed after its answers.
+    /// Commands that begin now are refused, and each connection is closed after its answers.
     stopping: bool,
+    /// No command is waited for any more, also not for the rest of one.
+    ending: bool,
     /// Connections with output to write.
     dirty: Vec<usize>,
     /// Connections whose commands wait for memory, in the order in which they began to wait.
@@ -261,6 +272,7 @@
             answer_memory: AnswerMemory::new(memory.answers),
             accepting: false,
             stopping: false,
+            ending: false,
             dirty: Vec::new(),
             waiting_for_memory: VecDeque::new(),
             retries: RetryQueue::default(),
@@ -331,20 +343,32 @@
         }
     }
 
-    /// Stops serving clients: closes the listener, and each connection once it has no open request.
+    /// Stops serving clients: closes the listener, and each connection once it has no open request. A command that has
+    /// begun is still accepted, and those behind it are refused.
     pub fn stop(&mut self, config: &Config, buffer: &mut [u8], now: Nanos) {
         self.listener = None;
-        self.stopping = true;
         let keys: Vec<usize> = self.clients.iter().map(|(key, _)| key).collect();
-        for key in keys {
+        for key in &keys {
             // Input that has already arrived is still handled.
-            self.read(key, config, buffer, now);
-            if self.clients.get(key).is_some_and(Client::is_closable) {
+            self.read(*key, config, buffer, now);
+        }
+        self.stopping = true;
+        for key in keys {
+            let Some(client) = self.clients.get_mut(key) else { continue };
+            client.completes_command = client.parser.in_progress();
+            if client.is_closable() {
                 self.linger(key, now);
             }
         }
     }
 
+    /// Ends all connections behind the answers that have been given.
+    pub fn end_all(&mut self, now: Nanos) {
+        self.ending = true;
+        let keys: Vec<usize> = self.clients.iter().map(|(key, _)| key).collect();
+        keys.into_iter().for_each(|key| self.flush(key, now));
+    }
+
     /// True if no client is connected.
     pub fn is_empty(&self) -> bool {
         self.clients.is_empty()
--- a/crates/proxy/src/front/clients/waiting.rs
+++ b/crates/proxy/src/front/clients/waiting.rs
@@ -78,6 +78,11 @@
     /// Handles that a client has shut down its sending side, also where its input is not read at present. A command whose
     /// value waits for memory is given up. What the client has sent is still read.
     pub fn input_ended(&mut self, key: usize, config: &Config, now: Nanos) {
+        if self.clients.get(key).is_some_and(|c| c.lingering_since.is_some() && !c.closing) {
+            // Both sides have ended the connection.
+            self.remove(key);
+            return;
+        }
         self.half_closed(key, now);
         let Some(client) = self.clients.get_mut(key).filter(|c| c.parser.waits_for_memory()) else { return };
         client.parser.drop_value();
--- a/crates/proxy/src/front/operate.rs
+++ b/crates/proxy/src/front/operate.rs
@@ -76,7 +76,7 @@
     }
 
     fn execute_op(&mut self, op: Op) -> Result<Answer, Error> {
-        if self.terminating_since.is_some() && requires_running_proxy(&op) {
+        if self.shutdown.is_some() && requires_running_proxy(&op) {
             return Err(Error::new(Code::Stopping, "the instance is terminating; nothing changed"));
         }
         let state = &self.persisted.state;
@@ -225,7 +225,7 @@
 
     /// The phase that controllers see.
     pub(crate) fn phase(&self) -> Phase {
-        let is_leaving = self.draining_since.is_some() || self.terminating_since.is_some();
+        let is_leaving = self.draining_since.is_some() || self.shutdown.is_some();
         match (is_leaving, self.closed_to_clients && self.clients.is_empty()) {
             (true, true) => Phase::Stopped,
             (true, false) => Phase::Draining,
@@ -241,7 +241,7 @@
         };
         let answer = match command {
             // Without an open listener no clients are accepted.
-            Ok(AdminCommand::Ready) if self.closed_to_clients || self.terminating_since.is_some() => {
+            Ok(AdminCommand::Ready) if self.closed_to_clients || self.shutdown.is_some() => {
                 "error not ready\n".to_owned()
             }
             Ok(AdminCommand::Ready) => "done\n".to_owned(),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 mod request;
 mod retry_queue;
 mod shadow_traffic;
+pub mod shutdown;
 mod streaming;
 mod timers;
 mod write_history;
@@ -48,6 +49,7 @@
 use platform::start_times::StartTimes;
 use request::RequestTable;
 use shadow_traffic::ShadowTraffic;
+use shutdown::{Shutdown, DRAIN_WINDOW};
 use std::collections::VecDeque;
 use std::io;
 use streaming::StreamedValues;
@@ -56,12 +58,6 @@
 const MS: Nanos = 1_000_000;
 /// How often all connections are checked for those that have waited too long.
 const SWEEP_INTERVAL: Nanos = 100 * MS;
-/// How long the proxy accepts clients after SIGTERM or a controller's drain: new connections may arrive for up to
-/// 400 ms after SIGTERM.
-const DRAIN_WINDOW: Nanos = 450 * MS;
-/// The process exits the longest request deadline plus this long after SIGTERM, even with requests open, because
-/// SIGKILL follows 100 ms later.
-const EXIT_GRACE: Nanos = 600 * MS;
 /// How long accepting is suspended after descriptors ran out.
 const ACCEPT_PAUSE: Nanos = 20 * MS;
 /// Descriptors for everything but connections: standard streams, poll, listener, signals, discovery, and some spare.
@@ -94,8 +90,8 @@
     actions: Vec<Action>,
     /// Reused for all reads.
     buffer: Vec<u8>,
-    /// When SIGTERM arrived.
-    terminating_since: Option<Nanos>,
+    /// The end of the process, once SIGTERM has arrived.
+    shutdown: Option<Shutdown>,
     /// When a controller drained this instance; `None` while it serves.
     draining_since: Option<Nanos>,
     /// Clients are not accepted: the drain window is over, or the instance started drained.
@@ -186,7 +182,7 @@
             pending_events: VecDeque::new(),
             actions: Vec::new(),
             buffer: vec![0; READ_BUFFER_BYTES],
-            terminating_since: None,
+            shutdown: None,
             draining_since: drained.then_some(now),
             closed_to_clients: drained,
             admin,
@@ -469,6 +465,7 @@
                 TimerEvent::ConnectionAttemptDelay(key, serial) => self.boxes.start_race(key, serial, now),
                 TimerEvent::ResumeAccept => self.clients.listener_ready(),
                 TimerEvent::RetryReload => self.reload(),
+                TimerEvent::ShutdownStep => self.continue_shutdown(),
                 TimerEvent::ShadowTimeout(number) => {
                     self.shadow_traffic.iter_mut().for_each(|s| s.copy_timeout(number, now));
                 }
@@ -504,13 +501,30 @@
         self.signals.clear_terminate();
         // Copying of reads stops at once.
         self.shadow_traffic = None;
-        self.terminating_since.get_or_insert(self.event_loop.now);
         self.change_count += 1;
+        if self.shutdown.is_none() {
+            let shutdown = Shutdown::new(self.event_loop.now, self.config.max_deadline);
+            self.shutdown = Some(shutdown);
+            for at in [shutdown.since() + DRAIN_WINDOW, shutdown.gives_up_at(), shutdown.ends_at()] {
+                self.event_loop.timers.set(at, TimerEvent::ShutdownStep);
+            }
+        }
+    }
+
+    /// Does what is due of the shutdown: closes the proxy to clients, and gives up what is still open near its end.
+    fn continue_shutdown(&mut self) {
+        self.close_after_drain_window();
+        if self.shutdown.is_some_and(|shutdown| self.event_loop.now >= shutdown.gives_up_at()) {
+            self.requests.unanswered_ids().into_iter().for_each(|id| self.give_up(id));
+            self.process_pending();
+            self.clients.end_all(self.event_loop.now);
+        }
     }
 
     /// Closes the proxy to clients at the end of the window after SIGTERM or a controller's drain.
     fn close_after_drain_window(&mut self) {
-        let since = self.draining_since.into_iter().chain(self.terminating_since).min();
+        let terminating_since = self.shutdown.map(|shutdown| shutdown.since());
+        let since = self.draining_since.into_iter().chain(terminating_since).min();
         if self.closed_to_clients || since.is_none_or(|at| self.event_loop.now < at + DRAIN_WINDOW) {
             return;
         }
@@ -522,9 +536,9 @@
     }
 
     fn is_finished(&self) -> bool {
-        self.terminating_since.is_some_and(|at| {
+        self.shutdown.is_some_and(|shutdown| {
             let all_answered = self.closed_to_clients && self.clients.is_empty();
-            all_answered || self.event_loop.now >= at + self.config.max_deadline + EXIT_GRACE
+            all_answered || self.event_loop.now >= shutdown.ends_at()
         })
     }
 }
--- a/crates/proxy/src/lifecycle.rs
+++ b/crates/proxy/src/lifecycle.rs
@@ -50,7 +50,8 @@
         }
         let (earliest, now) = (self.event_loop.earliest_arrival, self.event_loop.now);
         let arrived = delayed_since.map_or(earliest, |since| since.min(earliest));
-        match self.requests.insert(id, slot, query, arrived, now) {
+        let latest_deadline = self.shutdown.map(|shutdown| shutdown.gives_up_at());
+        match self.requests.insert(id, slot, query, arrived, latest_deadline, now) {
             Err(answer) => {
                 let refused = matches!(answer, Answer::Busy(_));
                 let result = if refused { FinalResult::Refused } else { FinalResult::Failed };
@@ -306,6 +307,20 @@
         }
     }
 
+    /// Gives up a request because the process is about to end. It is refused if a retry is harmless.
+    pub(crate) fn give_up(&mut self, id: RequestId) {
+        let Some(query) = self.requests.unanswered_query(id) else { return };
+        let may_have_run = !query.written.borrow().is_empty();
+        let class = self.config.settings.classes.get(query.class as usize);
+        self.pending_events.push_back(Event::Abandoned(id));
+        if class.is_some_and(|class| class.may_be_refused(may_have_run)) {
+            self.answer(id, Answer::Busy(0), FinalResult::Refused);
+        } else {
+            self.answer(id, Answer::Failed, FinalResult::Failed);
+        }
+        self.end_all_attempts(id, Status::Cancelled);
+    }
+
     /// Handles a client that has shut down its sending side. It may still be waiting for the answer, or may have
     /// abandoned the request. Attempts that are written within [`HALF_CLOSE_GRACE`] are therefore left to finish, and no
     /// further one is sent.
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -309,7 +309,7 @@
     }
 
     /// Adds a request that may have arrived as early as `arrived`. Returns the event for the balancer and the
-    /// request's deadline.
+    /// request's deadline, which is no later than `latest_deadline`.
     ///
     /// # Errors
     /// The answer if the request can't be accepted: another open request has the same id, and cache nodes would treat it as
@@ -320,6 +320,7 @@
         slot: ReplySlot,
         query: Rc<Query>,
         arrived: Nanos,
+        latest_deadline: Option<Nanos>,
         now: Nanos,
     ) -> Result<(Request, Nanos), Answer<'static>> {
         match self.client_ids.take(query.id()) {
@@ -328,7 +329,7 @@
             IdClaim::Unknown => return Err(Answer::Busy(0)),
         }
         let margin = ANSWER_MARGIN.min(query.timeout / 10);
-        let deadline = arrived + query.timeout - margin;
+        let deadline = (arrived + query.timeout - margin).min(latest_deadline.unwrap_or(Nanos::MAX));
         let request = Request {
             id,
             class: query.class,
@@ -406,6 +407,11 @@
         self.open.get(&id).filter(|o| !o.answered).map(|o| &o.query)
     }
 
+    /// The requests that are not answered yet.
+    pub fn unanswered_ids(&self) -> Vec<RequestId> {
+        self.open.iter().filter(|(_, open)| !open.answered).map(|(id, _)| *id).collect()
+    }
+
     /// True if the request is open and not answered yet.
     pub fn is_unanswered(&self, id: RequestId) -> bool {
         self.open.get(&id).is_some_and(|o| !o.answered)
@@ -499,10 +505,10 @@
     fn a_request_is_answered_once_and_no_attempt_is_sent_after_the_answer() {
         let config = crate::platform::config::tests::sample();
         let (mut table, slot) = (RequestTable::default(), ReplySlot { client: 3, number: 9 });
-        let (request, deadline) = table.insert(1, slot, query(&config), 0, MS).expect("accepted");
+        let (request, deadline) = table.insert(1, slot, query(&config), 0, None, MS).expect("accepted");
         assert_eq!((request.remaining, deadline), (489 * MS, 490 * MS));
         // A second request with the same client id is not accepted while the first is open.
-        assert!(matches!(table.insert(2, slot, query(&config), 0, MS), Err(Answer::IdInUse)));
+        assert!(matches!(table.insert(2, slot, query(&config), 0, None, MS), Err(Answer::IdInUse)));
         let first = table.start_attempt(1, 7, 2, MS).expect("started");
         assert_eq!((first.number, first.must_not_send), (0, false));
         table.set_connection(1, 0, 5);
@@ -520,7 +526,7 @@
         );
         table.retire(1);
         assert_eq!(table.len(), 0);
-        assert!(table.insert(2, slot, query(&config), 0, MS).is_ok());
+        assert!(table.insert(2, slot, query(&config), 0, None, MS).is_ok());
     }
 
     #[test]
@@ -529,7 +535,7 @@
         let slot = ReplySlot { client: 0, number: 0 };
         let start = |max_attempts: u32, now: Nanos, left: bool| {
             let mut table = RequestTable::default();
-            table.insert(1, slot, query(&config), 0, 0).expect("accepted");
+            table.insert(1, slot, query(&config), 0, None, 0).expect("accepted");
             assert!(!left || table.mark_half_closed(1, 50 * MS));
             let must_not_send = table.start_attempt(1, 7, max_attempts, now).expect("started").must_not_send;
             assert!(!table.is_orphaned(1) && table.end_attempt(1, 0).is_some());
--- a/crates/proxy/src/timers.rs
+++ b/crates/proxy/src/timers.rs
@@ -29,6 +29,8 @@
     ResumeAccept,
     /// The configuration is read again, which this machine could not do for a moment.
     RetryReload,
+    /// The next step of the shutdown is due.
+    ShutdownStep,
 }
 
 /// Timers ordered by expiry. They cannot be cancelled: the handler of an event ignores one that no longer applies.
