Test: requests on new connections behind a crowd that stops half way

The test has a crowd that stops within a head, and one that stops within a value, and also checks what nodes are told of the time that is left.

--- a/crates/proxy/tests/crowds.rs
+++ b/crates/proxy/tests/crowds.rs
@@ -4,7 +4,8 @@
 use serde_json::json;
 use std::io::Write;
 use std::net::TcpStream;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use testkit::scripted::*;
 
 /// The memory limit of the process, in MB.
@@ -119,3 +120,59 @@
         assert_crowd_stays_within_memory(&what, &bytes, bytes.len(), Duration::ZERO);
     }
 }
+
+/// Guards against requests on new connections that wait unread behind a crowd until their time is over, and whose nodes are told
+/// of time that has passed.
+#[test]
+fn requests_of_new_clients_are_answered_in_time_while_a_crowd_stops_half_way() {
+    const CROWD: usize = 400;
+    const USUAL: usize = 5;
+    const DEADLINE: Duration = Duration::from_millis(600);
+    /// Up to half a second after its time an answer only earns nothing, and each time limit is 50 ms longer.
+    const LOST_AFTER: Duration = Duration::from_millis(600 + 500 + 50);
+    /// A node may be told of this much more than is left.
+    const SLACK: Duration = Duration::from_millis(150);
+    let sent_at: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let overstated: Arc<Mutex<Vec<Duration>>> = Arc::default();
+    let mut nodes = Server::many(0);
+    for _ in 0..3 {
+        let (sent_at, overstated) = (sent_at.clone(), overstated.clone());
+        nodes.addresses.push(answering(move |command| {
+            let fields = String::from_utf8_lossy(command.arg(3)).into_owned();
+            let told = fields.split(',').find_map(|field| field.strip_prefix("d=")?.parse().ok());
+            let told = Duration::from_millis(told.expect("a time"));
+            let sent_at = sent_at.lock().expect("lock not poisoned").expect("sent");
+            let left = DEADLINE.saturating_sub(sent_at.elapsed());
+            if told > left + SLACK {
+                overstated.lock().expect("lock not poisoned").push(told - left);
+            }
+            Some(cached(command))
+        }));
+    }
+    for begun in [&b"*4\r\n$9\r\nCACHE.GET\r\n$16\r\n7f3a9c"[..], &begun_write(100_000, 50_000)] {
+        let proxy = Proxy::with(&nodes, |c| {
+            c["limits"] = json!({"cores": 1.0, "memory_mb": 96, "sockets": 512});
+        });
+        let _crowd: Vec<TcpStream> = (0..CROWD)
+            .map(|_| {
+                let mut stream = TcpStream::connect(proxy.address).expect("connected");
+                stream.set_nonblocking(true).expect("non-blocking mode");
+                let _ = stream.write(begun);
+                stream
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(200));
+        let sent = Instant::now();
+        *sent_at.lock().expect("lock not poisoned") = Some(sent);
+        let mut clients: Vec<Peer> = (0..USUAL).map(|_| proxy.client()).collect();
+        for (key, client) in clients.iter_mut().enumerate() {
+            client.get(key as u64, "read", DEADLINE.as_millis() as u64);
+        }
+        for client in &mut clients {
+            client.command();
+            assert!(sent.elapsed() < LOST_AFTER, "answered after {:?}", sent.elapsed());
+        }
+    }
+    let overstated = overstated.lock().expect("lock not poisoned");
+    assert!(overstated.is_empty(), "nodes were told of more than is left: {overstated:?}");
+}
