--- a/crates/proxy/src/front/clients/mod.rs
+++ b/crates/proxy/src/front/clients/mod.rs
@@ -227,6 +227,8 @@
     answer_memory: AnswerMemory,
     /// The listener may have connections to accept.
     accepting: bool,
+    /// Since when connections may have waited to be accepted.
+    waiting_since: Option<Nanos>,
     /// Commands that begin now are refused, and each connection is closed after its answers.
     stopping: bool,
     /// No command is waited for any more, also not for the rest of one.
@@ -271,6 +273,7 @@
             value_memory: MemoryBudget::new(memory.values),
             answer_memory: AnswerMemory::new(memory.answers),
             accepting: false,
+            waiting_since: None,
             stopping: false,
             ending: false,
             dirty: Vec::new(),
@@ -299,12 +302,13 @@
 
     /// True if a socket may have input that the event loop will not report again.
     pub fn has_pending_work(&self) -> bool {
-        !self.pending_reads.is_empty() || (self.accepting && self.can_accept())
+        !self.pending_reads.is_empty() || self.next_accept_at() == Some(0)
     }
 
     /// When a client has to be handled without an event.
     pub fn next_work_at(&self) -> Option<Nanos> {
-        self.next_refusal_at().into_iter().chain(self.retries.next_due()).min()
+        let accept = self.next_accept_at().filter(|at| *at > 0);
+        self.next_refusal_at().into_iter().chain(self.retries.next_due()).chain(accept).min()
     }
 
     /// Tries transfers again that failed for lack of something on this machine.
--- a/crates/proxy/src/front/clients/unread.rs
+++ b/crates/proxy/src/front/clients/unread.rs
@@ -82,7 +82,7 @@
 }
 
 impl Clients {
-    /// Records that a client's socket may hold input when it is left.
+    /// Records that a client's socket may hold input since `now`, when it was left without being read up.
     pub(super) fn left_unread(&mut self, key: usize, now: Nanos) {
         let Some(client) = self.clients.get_mut(key).filter(|c| c.unread.is_none()) else { return };
         client.unread = Some(UnreadInput {
