trestlelab soak: many troubles at once from a seed, judged by records

Change: a plan is drawn from a seed: proxies, nodes, memory, descriptors, windows, and troubles of nodes and discovery, crowds, clients that leave, ids that come again, system calls, planned restarts with SIGKILL at the earliest, kills. It is played on real processes before the stand-ins, and judged by the judge of the tests, which now also looks at what nodes are told of the time that is left, at attempts for clients that have left, at ids used twice and at answers that never come. A plan that breaks a rule is printed with the request's path, and shrunk if wanted.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,6 +9,7 @@
 mod report;
 mod results;
 mod scenarios;
+mod soak;
 mod sockets;
 mod sweep;
 
@@ -42,6 +43,8 @@
     Sweep(sweep::Args),
     /// Generate open-loop load on real proxies: latency counts from the intended start of each request.
     Load(load::Args),
+    /// Play many troubles at once on real proxies, drawn from seeds, and judge the records: exit code 1 if a rule was broken.
+    Soak(soak::Args),
     /// Search for the highest load that meets a goal.
     Knee(knee::Args),
     /// Run an external bench over many kinds of days and seeds, and write one table.
@@ -124,6 +127,7 @@
         Command::Run(args) => run(args),
         Command::Sweep(args) => sweep::command(args),
         Command::Load(args) => load::command(args),
+        Command::Soak(args) => soak::command(args),
         Command::Knee(args) => knee::command(args),
         Command::Campaign(args) => campaign::command(args),
         Command::Compare(args) => compare::command(args),
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -178,7 +178,7 @@
     c
 }
 
-fn default_program() -> PathBuf {
+pub(crate) fn default_program() -> PathBuf {
     std::env::current_exe().map_or_else(|_| "trestlesill".into(), |p| p.with_file_name("trestlesill"))
 }
 
@@ -286,7 +286,7 @@
             End::Served => Ended::Served,
             End::Refused => Ended::Refused,
             End::Failed | End::Wrong => Ended::Failed,
-            End::Late | End::Lost | End::Nowhere => Ended::Nothing,
+            End::Late | End::Never | End::Lost | End::Nowhere => Ended::Nothing,
         };
         let since = first.saturating_sub(start).as_nanos() as u64;
         gathered.add(since, last.write.is_some(), ended, last.ended.saturating_sub(first).as_nanos() as u64);
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -52,6 +52,24 @@
     program: PathBuf,
     config: PathBuf,
     operator: Option<PathBuf>,
+    faults: Option<SystemCallFaults>,
+}
+
+/// Faults of a program's system calls, by the package `syscall-faults`.
+#[derive(Clone, Debug)]
+pub struct SystemCallFaults {
+    /// The rules.
+    pub rules: String,
+    /// The seed of what is drawn.
+    pub seed: u64,
+}
+
+impl SystemCallFaults {
+    /// Has a program loaded with the faults when it is started.
+    pub fn apply(&self, command: &mut Command) {
+        command.env("LD_PRELOAD", env!("SYSCALL_FAULTS_LIBRARY"));
+        command.env("SYSCALL_FAULTS", &self.rules).env("SYSCALL_FAULTS_SEED", self.seed.to_string());
+    }
 }
 
 impl Instance {
@@ -64,6 +82,20 @@
         folder: &Path,
         config: &Value,
         operator: Option<&str>,
+    ) -> io::Result<Instance> {
+        Instance::start_with_faults(program, folder, config, operator, None)
+    }
+
+    /// As [`Instance::start`], with faults of its system calls, which it has after a restart as well.
+    ///
+    /// # Errors
+    /// As for [`Instance::start`].
+    pub fn start_with_faults(
+        program: &Path,
+        folder: &Path,
+        config: &Value,
+        operator: Option<&str>,
+        faults: Option<SystemCallFaults>,
     ) -> io::Result<Instance> {
         let name = config["name"].as_str().unwrap_or("n").to_owned();
         let address = config["listen"].as_str().and_then(|a| a.parse().ok());
@@ -79,8 +111,9 @@
             None => None,
         };
         let log = folder.join(format!("{name}.log"));
-        let child = launch(program, &path, operator.as_deref(), &log)?;
-        Ok(Instance { name, address, child, program: program.to_owned(), config: path, operator })
+        let child = launch(program, &path, operator.as_deref(), faults.as_ref(), &log)?;
+        let program = program.to_owned();
+        Ok(Instance { name, address, child, program, config: path, operator, faults })
     }
 
     /// Waits until the proxy answers `PING`.
@@ -110,11 +143,39 @@
     pub fn kill_and_start(&mut self) -> io::Result<()> {
         self.child.kill()?;
         self.child.wait()?;
+        self.start_again()
+    }
+
+    /// Starts an ended proxy again with the same files.
+    ///
+    /// # Errors
+    /// The program cannot be started.
+    pub fn start_again(&mut self) -> io::Result<()> {
         let log = self.config.with_extension("log");
-        self.child = launch(&self.program, &self.config, self.operator.as_deref(), &log)?;
+        let (operator, faults) = (self.operator.as_deref(), self.faults.as_ref());
+        self.child = launch(&self.program, &self.config, operator, faults, &log)?;
         Ok(())
     }
 
+    /// Reads a field of `/proc/PID/status`; sizes are in kB.
+    ///
+    /// # Errors
+    /// The process has ended, or has no such field.
+    pub fn status(&self, field: &str) -> io::Result<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = text.lines().find_map(|l| l.strip_prefix(field)?.strip_prefix(':'));
+        let number = line.and_then(|l| l.split_whitespace().next()?.parse().ok());
+        number.ok_or_else(|| io::Error::other(format!("no {field} in the status")))
+    }
+
+    /// The number of its open descriptors.
+    ///
+    /// # Errors
+    /// The process has ended.
+    pub fn descriptors(&self) -> io::Result<usize> {
+        Ok(std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))?.count())
+    }
+
     /// Sends the process a signal, as an option of `kill` (`-TERM`).
     ///
     /// # Errors
@@ -124,12 +185,21 @@
     }
 }
 
-fn launch(program: &Path, config: &Path, operator: Option<&Path>, log: &Path) -> io::Result<Child> {
+fn launch(
+    program: &Path,
+    config: &Path,
+    operator: Option<&Path>,
+    faults: Option<&SystemCallFaults>,
+    log: &Path,
+) -> io::Result<Child> {
     let log = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
     let mut command = Command::new(program);
     if let Some(operator) = operator {
         command.arg("--operator").arg(operator);
     }
+    if let Some(faults) = faults {
+        faults.apply(&mut command);
+    }
     command.env("NODE_CONFIG", config).env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY");
     crate::spawn(command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log))
 }
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -1,6 +1,7 @@
 //! Runs the proxy's binary between a scripted client, scripted cache nodes and a scripted discovery, over loopback.
 //! A test drives all of them from one thread and fails if an expected event does not occur within `PATIENCE`.
 
+use crate::process::SystemCallFaults;
 use crate::program;
 use serde_json::{json, Value};
 use std::io::{ErrorKind, Read, Write};
@@ -462,9 +463,8 @@
         edit(&mut config);
         let address: SocketAddr = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
         let mut command = Command::new(program("trestlesill"));
-        command.env("LD_PRELOAD", env!("SYSCALL_FAULTS_LIBRARY"));
-        command.env("SYSCALL_FAULTS", rules.replace("LISTEN", &address.port().to_string()));
-        command.env("SYSCALL_FAULTS_SEED", seed.to_string());
+        let rules = rules.replace("LISTEN", &address.port().to_string());
+        SystemCallFaults { rules, seed }.apply(&mut command);
         let proxy = Proxy::by(command, config);
         let maps =
             std::fs::read_to_string(format!("/proc/{}/maps", proxy.child.id())).expect("its memory map");
--- a/crates/testkit/src/world/boxes.rs
+++ b/crates/testkit/src/world/boxes.rs
@@ -85,6 +85,8 @@
     pub key: u64,
     /// Idempotency key of a write; `None` for a read.
     pub write: Option<String>,
+    /// How long the proxy said that it waits for the answer.
+    pub told: Duration,
     /// Listener that received it: 0 for that of the client's zone, then the additional ones from 1.
     pub door: usize,
     /// When its reply was ready, and the result: `hit`, `miss`, `pending`, `-BUSY`, ... `None` for a request that was
@@ -424,11 +426,13 @@
         let field = |name: &str| fields.split(',').find_map(|f| f.strip_prefix(name)).map(str::to_owned);
         let idempotency = write.then(|| field("k=").unwrap_or_default());
         let at = self.clock.now();
+        let told_ms = field("d=").and_then(|ms| ms.parse().ok()).unwrap_or(0);
         let at = self.record_request(Seen {
             at,
             id: text(2),
             key,
             write: idempotency.clone(),
+            told: Duration::from_millis(told_ms),
             door,
             answer: None,
         });
--- a/crates/testkit/src/world/clients.rs
+++ b/crates/testkit/src/world/clients.rs
@@ -28,6 +28,8 @@
     Failed,
     /// No reply before the client's time-out.
     Late,
+    /// No reply although the client waited for longer, see [`Load::patience`].
+    Never,
     /// A new connection ended without a reply.
     Lost,
     /// No proxy accepted a connection.
@@ -49,6 +51,8 @@
     pub proxy: usize,
     /// When it was sent.
     pub sent: Duration,
+    /// How long the client said that it waits.
+    pub wait: Duration,
     /// When it ended.
     pub ended: Duration,
     /// Outcome.
@@ -62,7 +66,7 @@
 /// Histories of runs over sockets contain this text, so it keeps the type's former name.
 impl fmt::Debug for AttemptRecord {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let AttemptRecord { id, key, write, proxy, sent, ended, end, tries, protocol } = self;
+        let AttemptRecord { id, key, write, proxy, sent, wait: _, ended, end, tries, protocol } = self;
         f.debug_struct("Asked")
             .field("id", id)
             .field("key", key)
@@ -101,6 +105,8 @@
     pub three: f64,
     /// Predefined requests, which replace those generated at `rate`.
     pub plan: Option<Plan>,
+    /// How long a client goes on waiting after its time-out, to see whether an answer comes at all.
+    pub patience: Duration,
     front: Mutex<Vec<Target>>,
     record: Mutex<Vec<AttemptRecord>>,
     open: AtomicUsize,
@@ -150,6 +156,7 @@
             retries: 2,
             three: 0.0,
             plan: None,
+            patience: Duration::ZERO,
             front: Mutex::new(front),
             record: Mutex::default(),
             open: AtomicUsize::new(0),
@@ -253,7 +260,8 @@
                 self.attempt(clock, pool, &id, key, write.as_deref(), wait, protocol, rng).await;
             let ended = clock.now();
             let write_key = write.clone();
-            let asked = AttemptRecord { id, key, write: write_key, proxy, sent, ended, end, tries, protocol };
+            let asked =
+                AttemptRecord { id, key, write: write_key, proxy, sent, wait, ended, end, tries, protocol };
             lock(&self.record).push(asked);
             // The client must not repeat a write that may have been executed; a rejected one has not been.
             if end == End::Served || (write.is_some() && end != End::Refused) {
@@ -370,9 +378,13 @@
                 }
             }
         };
-        let Ok(ended) = tokio::time::timeout_at(due, exchange).await else {
-            return AttemptResult::Ended(End::Late, Duration::ZERO);
+        let Ok(ended) = tokio::time::timeout_at(due + self.patience, exchange).await else {
+            let end = if self.patience.is_zero() { End::Late } else { End::Never };
+            return AttemptResult::Ended(end, Duration::ZERO);
         };
+        if Instant::now() > due && matches!(ended, AttemptResult::Ended(..)) {
+            return AttemptResult::Ended(End::Late, Duration::ZERO);
+        }
         if matches!(ended, AttemptResult::Ended(End::Served | End::Refused | End::Failed, _)) {
             pool.borrow_mut().entry(place).or_default().push((stream, Instant::now()));
         }
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -35,10 +35,24 @@
 /// sockets.
 const DRAIN_GRACE: Duration = Duration::from_millis(550);
 
+/// How much more than what is left to a client a box may be told.
+const TOLD_SLACK: Duration = Duration::from_millis(150);
+/// How long after a client's departure an attempt of its request may begin, with the protocol's tolerance.
+const DEPARTURE_GRACE: Duration = Duration::from_millis(100 + 50);
+
+/// A request whose client has closed its connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Departure {
+    /// Id of the request.
+    pub id: String,
+    /// When the connection was closed, since the world's start.
+    pub at: Duration,
+}
+
 /// A violation of a rule.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Broken {
-    /// Name of the rule: `lost`, `doubled`, `drain` or `cold-box`.
+    /// Name of the rule: `lost`, `doubled`, `drain`, `cold-box`, `told` or `departed`.
     pub rule: &'static str,
     /// Id of the request that violated the rule, if it is known.
     pub id: Option<String>,
@@ -235,8 +249,11 @@
         let record = load.record();
         let broken = |rule, id: Option<&str>, what| Broken { rule, id: id.map(str::to_owned), what };
         let mut all: Vec<Broken> = Vec::new();
-        let bad =
-            |a: &&AttemptRecord| a.end == End::Wrong || (a.end == End::Lost && !killed.contains(&a.proxy));
+        let bad = |a: &&AttemptRecord| match a.end {
+            End::Wrong => true,
+            End::Lost | End::Never => !killed.contains(&a.proxy),
+            _ => false,
+        };
         for asked in record.iter().filter(bad) {
             all.push(broken("lost", Some(&asked.id), format!("{:?} at proxy {}", asked.end, asked.proxy)));
         }
@@ -275,6 +292,66 @@
         all
     }
 
+    /// Returns the attempts that told a box of more time than was left to the client. Without cuts of the network, which
+    /// hold commands up on their way.
+    pub fn overstated(&self, load: &Load) -> Vec<Broken> {
+        let record = load.record();
+        // A request that was sent again on another connection says the time that it had at first.
+        let sent_again: std::collections::HashSet<String> =
+            load.crossed().into_iter().map(|(id, _)| id).collect();
+        let asked: std::collections::HashMap<&str, &AttemptRecord> =
+            record.iter().filter(|a| !sent_again.contains(&a.id)).map(|a| (a.id.as_str(), a)).collect();
+        let mut all = Vec::new();
+        for seen in self.boxes.iter().flat_map(|one| one.record()) {
+            let Some(asked) = asked.get(seen.id.as_str()) else { continue };
+            let left = (asked.sent + asked.wait).saturating_sub(seen.at);
+            if seen.told > left + TOLD_SLACK {
+                let what = format!("told {:?} at {:?}, {left:?} were left", seen.told, seen.at);
+                all.push(Broken { rule: "told", id: Some(seen.id), what });
+            }
+        }
+        all
+    }
+
+    /// Returns the attempts that began after their clients had closed their connections.
+    pub fn sent_after_departure(&self, departures: &[Departure]) -> Vec<Broken> {
+        let departed: std::collections::HashMap<&str, Duration> =
+            departures.iter().map(|departure| (departure.id.as_str(), departure.at)).collect();
+        let mut all = Vec::new();
+        for seen in self.boxes.iter().flat_map(|one| one.record()) {
+            let Some(left_at) = departed.get(seen.id.as_str()) else { continue };
+            if seen.at > *left_at + DEPARTURE_GRACE {
+                let what = format!("sent {:?} after its client had left", seen.at - *left_at);
+                all.push(Broken { rule: "departed", id: Some(seen.id), what });
+            }
+        }
+        all
+    }
+
+    /// Returns the ids of writes that came to a box while another write with the same id might still be carried out: within the
+    /// time that was told for that one, and before its answer.
+    pub fn ids_used_twice(&self) -> Vec<Broken> {
+        let mut by_id: std::collections::HashMap<String, Vec<Seen>> = std::collections::HashMap::new();
+        for seen in self.boxes.iter().flat_map(|one| one.record()).filter(|seen| seen.write.is_some()) {
+            by_id.entry(seen.id.clone()).or_default().push(seen);
+        }
+        let mut all = Vec::new();
+        for (id, mut seen) in by_id {
+            seen.sort_by_key(|one| one.at);
+            let overlap = |pair: &[Seen]| {
+                let [first, second] = pair else { return false };
+                first.write != second.write
+                    && second.at < first.at + first.told
+                    && first.answer.is_none_or(|(at, _)| at > second.at)
+            };
+            if let Some(pair) = seen.windows(2).find(|pair| overlap(pair)) {
+                let what = format!("two writes with one id, {:?} apart", pair[1].at - pair[0].at);
+                all.push(Broken { rule: "doubled", id: Some(id), what });
+            }
+        }
+        all
+    }
+
     /// Zone of proxy number `proxy`.
     pub fn zone_of(&self, proxy: usize) -> usize {
         proxy % self.config.zones.len()
