The end of a client's stream counts from when it may have come, also once it is found

A client's end that is found behind unread input may have come when that was first left unread, but an attempt that waited for its connection could be written for 50 ms after it was found.

Change: the end counts from when the socket was left unread, and a half-closed request is never written later than it could be before.

Result: no test shows the case, whose window is 50 ms after the end is found; the tests of departed clients, crowds, floods, long values and the proxy pass.

--- a/crates/proxy/src/front/clients/commands.rs
+++ b/crates/proxy/src/front/clients/commands.rs
@@ -98,10 +98,12 @@
     /// Handles that a client has closed its sending side, as soon as that is known: some of its input may be unread.
     pub(super) fn half_closed(&mut self, key: usize, now: Nanos) {
         let Some(client) = self.clients.get_mut(key).filter(|c| c.ended_at.is_none()) else { return };
-        client.ended_at = Some(now);
+        // The end may have come as soon as the socket was left unread.
+        let ended_at = client.unread_since().unwrap_or(now);
+        client.ended_at = Some(ended_at);
         for slot in &client.slots {
             if let Slot::Waiting(waiting) = slot {
-                self.events.push_back(ClientEvent::HalfClosed(waiting.id, now));
+                self.events.push_back(ClientEvent::HalfClosed(waiting.id, ended_at));
             }
         }
     }
--- a/crates/proxy/src/front/clients/unread.rs
+++ b/crates/proxy/src/front/clients/unread.rs
@@ -67,6 +67,11 @@
         self.unread.map(|unread| unread.arrived_since)
     }
 
+    /// Since when its socket has not been found empty.
+    pub(super) fn unread_since(&self) -> Option<Nanos> {
+        self.unread.map(|unread| unread.begun)
+    }
+
     /// Whether the client may have left: it has closed its side some time ago, or it has not been read up for some time and the
     /// end of the stream may stand behind more unread input.
     pub(super) fn may_have_left(&self, now: Nanos) -> bool {
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -422,6 +422,8 @@
     pub fn mark_half_closed(&mut self, id: RequestId, send_until: Nanos) -> bool {
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return false };
         open.client_half_closed = true;
+        // Where the end was hidden behind unread input, nothing may have been written since then.
+        let send_until = send_until.min(open.query.send_until.get());
         open.query.send_until.set(send_until);
         true
     }
