--- a/crates/lab/src/soak/play.rs
+++ b/crates/lab/src/soak/play.rs
@@ -277,7 +277,7 @@
         }
     }
 
-    /// Looks how a process ended that was told to, and kills it if it has not.
+    /// Checks how a process has ended after SIGTERM, and kills it if it has not.
     fn end_terminated(&mut self, number: usize) -> Result<(), Failure> {
         let child = &mut self.proxies[number].child;
         let status = child.try_wait().map_err(io_failure)?;
@@ -311,17 +311,19 @@
     /// Looks at memory, descriptors and exits of the processes.
     fn watch(&mut self) {
         for number in 0..self.proxies.len() {
+            let ended = self.proxies[number].child.try_wait().ok().flatten();
+            if ended.is_none() && !self.is_discovery_down() {
+                // A process that is shutting down has new lists, too.
+                self.known[number] = self.world.known(number);
+            }
             if !self.running[number] {
                 continue;
             }
-            if let Ok(Some(status)) = self.proxies[number].child.try_wait() {
+            if let Some(status) = ended {
                 self.running[number] = false;
                 self.limit_broken("crash", format!("proxy {number} ended by itself with {status}"));
                 continue;
             }
-            if !self.is_discovery_down() {
-                self.known[number] = self.world.known(number);
-            }
             let memory = self.proxies[number].status("VmHWM").unwrap_or(0);
             let descriptors = self.proxies[number].descriptors().unwrap_or(0);
             let peak = &mut self.outcome.peak_memory_kb[number];
--- a/crates/proxy/src/front/clients/unread.rs
+++ b/crates/proxy/src/front/clients/unread.rs
@@ -23,7 +23,7 @@
     arrived_since: Nanos,
     /// The same for the input behind `remaining_bytes`.
     next_arrived_since: Nanos,
-    /// How many bytes the socket held at the most at `next_arrived_since`, and are still to be read.
+    /// The upper bound of the bytes that the socket held at `next_arrived_since` and that are still to be read.
     remaining_bytes: usize,
 }
 
@@ -46,7 +46,7 @@
         self.open_requests().next().is_some()
     }
 
-    /// How many bytes its socket holds at the most.
+    /// The capacity of its socket, in bytes.
     fn receive_buffer_bytes(&self) -> usize {
         socket2::SockRef::from(&self.stream).recv_buffer_size().unwrap_or(DEFAULT_RECEIVE_BUFFER_BYTES)
     }
--- a/crates/proxy/src/io_error.rs
+++ b/crates/proxy/src/io_error.rs
@@ -18,7 +18,7 @@
     /// The socket is empty or full: it tells when that changes.
     WouldBlock,
     /// This machine lacks a descriptor, memory, a buffer or a port for the moment: the call is made again after a short wait,
-    /// and nobody else is judged for it.
+    /// and no peer is judged for it.
     LocalShortage,
     /// This machine has no way to the address: another address is tried, and its node is not judged.
     NoRoute,
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -1,7 +1,7 @@
-//! When a process that is told to end stops taking requests, gives up those that are open, and ends. No sockets here.
+//! The end of a process after SIGTERM: when it stops taking requests, gives up those that are open, and exits. No sockets here.
 //!
 //! The platform's terms: new connections come for up to 0.4 s after SIGTERM, and clients use those that they have. SIGKILL
-//! comes no sooner than the longest deadline, 3 s at the most, and 0.7 s after SIGTERM. What has been taken until then and
+//! comes no sooner than the longest deadline (up to 3 s) plus 0.7 s after SIGTERM. What has been taken until then and
 //! is not answered is lost.
 
 use calicosaddle::api::Nanos;
--- a/crates/proxy/tests/answer_memory.rs
+++ b/crates/proxy/tests/answer_memory.rs
@@ -3,9 +3,7 @@
 
 use resp::Command;
 use serde_json::json;
-use socket2::{Domain, Socket, Type};
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,8 +11,6 @@
 
 /// The longest value that is answered whole.
 const VALUE_BYTES: usize = 64 << 10;
-/// A segment as on an Ethernet: over the loopback device the kernel would hold megabytes for a connection.
-const SEGMENT_BYTES: u32 = 1_460;
 /// The memory limit of the process, in MB.
 const MEMORY_MB: u64 = 16;
 
@@ -35,15 +31,6 @@
     })
 }
 
-/// A connection for which the kernel holds little.
-fn connect_with_small_buffers(address: SocketAddr) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(8 << 10).expect("a receive buffer");
-    socket.set_tcp_mss(SEGMENT_BYTES).expect("a segment size");
-    socket.connect(&address.into()).expect("connected");
-    socket.into()
-}
-
 fn read(key: usize, id: &str) -> Vec<u8> {
     encode(&["CACHE.GET", &format!("{key:016x}"), id, "c=read,d=15000"])
 }
--- a/crates/proxy/tests/crowds.rs
+++ b/crates/proxy/tests/crowds.rs
@@ -130,7 +130,7 @@
     const DEADLINE: Duration = Duration::from_millis(600);
     /// Up to half a second after its time an answer only earns nothing, and each time limit is 50 ms longer.
     const LOST_AFTER: Duration = Duration::from_millis(600 + 500 + 50);
-    /// A node may be told of this much more than is left.
+    /// The time stated to a node may exceed what is left by this much.
     const SLACK: Duration = Duration::from_millis(150);
     let sent_at: Arc<Mutex<Option<Instant>>> = Arc::default();
     let overstated: Arc<Mutex<Vec<Duration>>> = Arc::default();
--- a/crates/proxy/tests/memory_limits.rs
+++ b/crates/proxy/tests/memory_limits.rs
@@ -2,7 +2,6 @@
 //! within its memory limit, and others are served.
 
 use serde_json::json;
-use socket2::{Domain, Socket, Type};
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -11,8 +10,6 @@
 
 /// The longest value that is answered whole.
 const VALUE_BYTES: usize = 64 << 10;
-/// A segment as on an Ethernet: over the loopback device the kernel would hold megabytes for a connection.
-const SEGMENT_BYTES: u32 = 1_460;
 /// How many cache nodes there are.
 const NODES: usize = 60;
 /// How long the crowd stays.
@@ -97,15 +94,6 @@
     }
 }
 
-/// A connection for which the kernel holds little.
-fn connect_with_small_buffers(address: SocketAddr) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(8 << 10).expect("a receive buffer");
-    socket.set_tcp_mss(SEGMENT_BYTES).expect("a segment size");
-    socket.connect(&address.into()).expect("connected");
-    socket.into()
-}
-
 /// The limits of a process.
 #[derive(Clone, Copy, Debug)]
 struct Limits {
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -276,6 +276,18 @@
     }
 }
 
+/// Connects with a small receive buffer and segments as on an Ethernet, so that the kernel holds little for the connection: over
+/// the loopback device it would hold megabytes.
+pub fn connect_with_small_buffers(address: SocketAddr) -> TcpStream {
+    const RECEIVE_BUFFER_BYTES: usize = 8 << 10;
+    const SEGMENT_BYTES: u32 = 1_460;
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("a receive buffer");
+    socket.set_tcp_mss(SEGMENT_BYTES).expect("a segment size");
+    socket.connect(&address.into()).expect("connected");
+    socket.into()
+}
+
 /// Returns an address whose accept backlog is full: connections to it stay pending while the returned sockets are held.
 pub fn full_backlog() -> (SocketAddr, Vec<socket2::Socket>) {
     let socket =
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -292,8 +292,8 @@
         all
     }
 
-    /// Returns the attempts that told a box of more time than was left to the client. Without cuts of the network, which
-    /// hold commands up on their way.
+    /// Returns the attempts that stated more time to a box than the client had left. Not for runs with cuts of the network,
+    /// which hold commands up on their way.
     pub fn overstated(&self, load: &Load) -> Vec<Broken> {
         let record = load.record();
         // A request that was sent again on another connection says the time that it had at first.
@@ -329,7 +329,7 @@
     }
 
     /// Returns the ids of writes that came to a box while another write with the same id might still be carried out: within the
-    /// time that was told for that one, and before its answer.
+    /// time-out of that one, and before its answer.
     pub fn ids_used_twice(&self) -> Vec<Broken> {
         let mut by_id: std::collections::HashMap<String, Vec<Seen>> = std::collections::HashMap::new();
         for seen in self.boxes.iter().flat_map(|one| one.record()).filter(|seen| seen.write.is_some()) {
