Judge: what a process was told of drains does not count for the next one

Trace: the restarted proxy's last process had ended by itself 0.6 s before, discovery's stand-in wrote the drain to the dead connection at 3.290 s, the next process started at 3.637 s with an older list, and its request at 3.849 s came 9 ms after the grace counted from that.

Change: the judge of the records looks at each process of a proxy by itself: what was told to it, and what the list said that it was started with. Where no start is recorded there is one process, and the check is as it was.

--- a/crates/lab/src/soak/play.rs
+++ b/crates/lab/src/soak/play.rs
@@ -267,6 +267,7 @@
                 config["known"] = self.known[number].clone();
                 let path = self.folder.0.join(format!("{}.json", self.proxies[number].name));
                 std::fs::write(path, config.to_string()).map_err(io_failure)?;
+                self.world.record_start(number, &config["known"]);
                 self.proxies[number].start_again().map_err(io_failure)?;
                 self.proxies[number].ready(READY_TIMEOUT).map_err(io_failure)?;
                 (self.running[number], self.in_front[number]) = (true, true);
