--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,10 +3,11 @@
 //!
 //! [`scripted`] has peers that a test drives step by step; [`world`] has autonomous stand-ins with fault scripts from a
 //! seed and a record of all requests; [`process`] starts proxies to run against them; [`agent`] starts an agent with a
-//! fleet; [`controller`] is a client of a control endpoint.
+//! fleet; [`controller`] is a client of a control endpoint; [`drains`] plays drains under faults and counts what came late.
 
 pub mod agent;
 pub mod controller;
+pub mod drains;
 pub mod process;
 pub mod scripted;
 pub mod world;
--- a/crates/testkit/src/scripted.rs
+++ b/crates/testkit/src/scripted.rs
@@ -351,6 +351,7 @@
     /// The process.
     pub child: Child,
     path: PathBuf,
+    faults: Option<SystemCallFaults>,
 }
 
 /// Returns a configuration with these cache nodes and a unique listen address.
@@ -455,17 +456,24 @@
         client
     }
 
-    /// Kills the proxy and starts it again with the same arguments and configuration.
-    pub fn kill_and_start(&mut self) {
+    /// Kills the proxy and starts it again with the same arguments and configuration, and the same faults. Returns the log of the
+    /// process that was killed.
+    pub fn kill_and_start(&mut self) -> String {
         let args: Vec<_> =
             std::fs::read(format!("/proc/{}/cmdline", self.child.id())).expect("a command line");
         let args: Vec<String> =
             args.split(|b| *b == 0).map(|a| String::from_utf8_lossy(a).into_owned()).collect();
         self.child.kill().expect("killed");
         self.wait();
+        let mut log = String::new();
+        if let Some(mut output) = self.child.stderr.take() {
+            output.read_to_string(&mut log).expect("a log");
+        }
         let mut command = Command::new(&args[0]);
         command.args(args[1..].iter().filter(|a| !a.is_empty())).env("NODE_CONFIG", &self.path);
+        self.faults.iter().for_each(|faults| faults.apply(&mut command));
         self.child = crate::spawn(command.stderr(Stdio::piped())).expect("the proxy starts");
+        log
     }
 
     /// Starts a proxy whose system calls have faults, by the rules of the package `syscall-faults`; `LISTEN` in them stands for
@@ -473,11 +481,18 @@
     pub fn faulty(nodes: &Server, rules: &str, seed: u64, edit: impl FnOnce(&mut Value)) -> Proxy {
         let mut config = config(&nodes.addresses);
         edit(&mut config);
+        Proxy::faulty_with(config, rules, seed)
+    }
+
+    /// The same with a whole configuration.
+    pub fn faulty_with(config: Value, rules: &str, seed: u64) -> Proxy {
         let address: SocketAddr = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
         let mut command = Command::new(program("trestlesill"));
         let rules = rules.replace("LISTEN", &address.port().to_string());
-        SystemCallFaults { rules, seed }.apply(&mut command);
-        let proxy = Proxy::by(command, config);
+        let faults = SystemCallFaults { rules, seed };
+        faults.apply(&mut command);
+        let mut proxy = Proxy::by(command, config);
+        proxy.faults = Some(faults);
         let maps =
             std::fs::read_to_string(format!("/proc/{}/maps", proxy.child.id())).expect("its memory map");
         assert!(maps.contains("libsyscall_faults"), "the library with the faults is not loaded");
@@ -493,7 +508,7 @@
     pub fn by(program: Command, config: Value) -> Proxy {
         let address = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
         let (child, path) = launch_command(program, &config.to_string());
-        let mut proxy = Proxy { address, child, path };
+        let mut proxy = Proxy { address, child, path, faults: None };
         let begun = Instant::now();
         while !crate::process::answers(address) {
             let ended = proxy.child.try_wait().expect("a child");
