--- a/crates/testkit/shim/src/lib.rs
+++ b/crates/testkit/shim/src/lib.rs
@@ -23,12 +23,14 @@
 const MAX_SHORT_BYTES: u64 = 7;
 /// `RTLD_NEXT`: the next definition of a symbol behind this library.
 const NEXT: *mut c_void = -1_isize as *mut c_void;
-/// `CLOCK_REALTIME`.
-const WALL_CLOCK: c_int = 0;
+/// `CLOCK_REALTIME` and `CLOCK_REALTIME_COARSE`.
+const WALL_CLOCKS: [c_int; 2] = [0, 5];
+/// `AF_UNIX`.
+const UNIX_FAMILY: u16 = 1;
 /// `AF_INET` and `AF_INET6`.
 const INTERNET_FAMILIES: [u16; 2] = [2, 10];
 /// The numbers of errno(3) on Linux.
-const ERRORS: [(&str, c_int); 21] = [
+const ERRORS: [(&str, c_int); 22] = [
     ("EINTR", 4),
     ("EIO", 5),
     ("EAGAIN", 11),
@@ -36,6 +38,7 @@
     ("EACCES", 13),
     ("ENFILE", 23),
     ("EMFILE", 24),
+    ("EINVAL", 22),
     ("ENOSPC", 28),
     ("EPIPE", 32),
     ("EPROTO", 71),
@@ -78,6 +81,7 @@
     probability: f64,
     port: Option<u16>,
     other_than_port: Option<u16>,
+    is_unix_only: bool,
     after: Duration,
     until: Duration,
 }
@@ -102,12 +106,22 @@
     };
     let probability = if matches!(fault, Fault::Step(_)) { 1.0 } else { number.parse().ok()? };
     let (after, until) = (Duration::ZERO, Duration::MAX);
-    let mut rule = Rule { call, fault, probability, port: None, other_than_port: None, after, until };
+    let mut rule = Rule {
+        call,
+        fault,
+        probability,
+        port: None,
+        other_than_port: None,
+        is_unix_only: false,
+        after,
+        until,
+    };
     for word in words {
         let (name, value) = word.split_once('=')?;
         match name {
             "port" => rule.port = Some(value.parse().ok()?),
             "not-port" => rule.other_than_port = Some(value.parse().ok()?),
+            "family" if value == "unix" => rule.is_unix_only = true,
             "after" => rule.after = Duration::from_millis(value.parse().ok()?),
             "until" => rule.until = Duration::from_millis(value.parse().ok()?),
             _ => return None,
@@ -148,27 +162,38 @@
                 && rule
                     .other_than_port
                     .is_none_or(|port| !socket.is_some_and(|socket| has_port(socket, port)))
+                && (!rule.is_unix_only || socket.is_some_and(is_unix_socket))
         };
         let is_drawn = |rule: &&Rule| (self.draw() >> 11) as f64 / ((1_u64 << 53) as f64) < rule.probability;
         self.rules.iter().filter(applies).find(is_drawn).map(|rule| rule.fault)
     }
 }
 
+/// getsockname(2) or getpeername(2).
+type AddressOf = unsafe extern "C" fn(c_int, *mut c_void, *mut c_uint) -> c_int;
+
+/// The family and the port of an address of a socket; the port of one that is no internet address means nothing.
+fn family_and_port(socket: c_int, address_of: AddressOf) -> Option<(u16, u16)> {
+    // As large as `sockaddr_storage`; the family is first, and the port of an internet address is behind it.
+    let mut address = [0_u8; 128];
+    let mut length = address.len() as c_uint;
+    // SAFETY: the address has as many bytes as the length says.
+    let result = unsafe { address_of(socket, address.as_mut_ptr().cast(), &mut length) };
+    let family = u16::from_ne_bytes([address[0], address[1]]);
+    (result == 0).then(|| (family, u16::from_be_bytes([address[2], address[3]])))
+}
+
 /// Whether a socket has this local or remote port.
 fn has_port(socket: c_int, port: u16) -> bool {
-    type Name = unsafe extern "C" fn(c_int, *mut c_void, *mut c_uint) -> c_int;
-    let names: [Name; 2] = [getsockname, getpeername];
-    names.into_iter().any(|name| {
-        // As large as `sockaddr_storage`; the family is first, and the port of an internet address is behind it.
-        let mut address = [0_u8; 128];
-        let mut length = address.len() as c_uint;
-        // SAFETY: the address has as many bytes as the length says.
-        let result = unsafe { name(socket, address.as_mut_ptr().cast(), &mut length) };
-        let family = u16::from_ne_bytes([address[0], address[1]]);
-        result == 0
-            && INTERNET_FAMILIES.contains(&family)
-            && u16::from_be_bytes([address[2], address[3]]) == port
-    })
+    let both: [AddressOf; 2] = [getsockname, getpeername];
+    both.into_iter()
+        .filter_map(|address_of| family_and_port(socket, address_of))
+        .any(|(family, own)| INTERNET_FAMILIES.contains(&family) && own == port)
+}
+
+/// Whether a descriptor is a socket of the Unix domain.
+fn is_unix_socket(socket: c_int) -> bool {
+    family_and_port(socket, getsockname).is_some_and(|(family, _)| family == UNIX_FAMILY)
 }
 
 /// Sets errno(3) and returns what a failed call returns.
@@ -202,6 +227,8 @@
 type Open = unsafe extern "C" fn(*const c_char, c_int, ...) -> c_int;
 type Wait = unsafe extern "C" fn(c_int, *mut c_void, c_int, c_int) -> c_int;
 type ClockTime = unsafe extern "C" fn(c_int, *mut TimeSpec) -> c_int;
+type TimeOfDay = unsafe extern "C" fn(*mut TimeValue, *mut c_void) -> c_int;
+type Seconds = unsafe extern "C" fn(*mut i64) -> i64;
 type Synchronise = unsafe extern "C" fn(c_int) -> c_int;
 type Write = unsafe extern "C" fn(c_int, *const c_void, usize) -> isize;
 
@@ -219,6 +246,13 @@
     nanoseconds: c_long,
 }
 
+/// `struct timeval`, on machines with 64 bits.
+#[repr(C)]
+pub struct TimeValue {
+    seconds: i64,
+    microseconds: c_long,
+}
+
 /// How many bytes a transfer of up to `length` may make, or the error that it fails with.
 fn limit(call: &str, socket: c_int, length: usize) -> Result<usize, c_int> {
     match faults().fault(call, Some(socket)) {
@@ -382,6 +416,15 @@
     error("fsync", None).map_or_else(|| next(descriptor), fail)
 }
 
+/// How many seconds the wall clock is off, or the error that reading it fails with.
+fn wall_clock_offset() -> Result<i64, c_int> {
+    match faults().fault("clock", None) {
+        Some(Fault::Step(seconds)) => Ok(seconds),
+        Some(Fault::Error(error)) => Err(error),
+        _ => Ok(0),
+    }
+}
+
 /// clock_gettime(2)
 ///
 /// # Safety
@@ -390,11 +433,50 @@
 pub unsafe extern "C" fn clock_gettime(clock: c_int, time: *mut TimeSpec) -> c_int {
     let next = next!("clock_gettime", ClockTime);
     let result = next(clock, time);
-    // Only the wall clock is asked of the rules, whose own times come from the other one.
-    if result == 0 && clock == WALL_CLOCK {
-        if let Some(Fault::Step(seconds)) = faults().fault("clock", None) {
+    // Only the wall clock is asked of the rules, whose own times come from another one.
+    if result != 0 || !WALL_CLOCKS.contains(&clock) {
+        return result;
+    }
+    match wall_clock_offset() {
+        Ok(seconds) => {
             (*time).seconds += seconds;
+            result
         }
+        Err(error) => fail(error),
+    }
+}
+
+/// gettimeofday(2)
+///
+/// # Safety
+/// As for the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn gettimeofday(time: *mut TimeValue, zone: *mut c_void) -> c_int {
+    let next = next!("gettimeofday", TimeOfDay);
+    let result = next(time, zone);
+    match wall_clock_offset() {
+        Ok(seconds) if result == 0 => (*time).seconds += seconds,
+        Ok(_) => {}
+        Err(error) => return fail(error),
     }
     result
 }
+
+/// time(2)
+///
+/// # Safety
+/// As for the C library's function.
+#[no_mangle]
+pub unsafe extern "C" fn time(seconds: *mut i64) -> i64 {
+    let next = next!("time", Seconds);
+    let now = next(std::ptr::null_mut());
+    match wall_clock_offset() {
+        Ok(offset) => {
+            if !seconds.is_null() {
+                *seconds = now + offset;
+            }
+            now + offset
+        }
+        Err(error) => i64::from(fail(error)),
+    }
+}
