A signal is noted by a flag that its handler sets, whatever system call fails

Cause: the handler's byte to the event loop's socket was the only word of a signal, and its send may fail (EINTR, ENOBUFS, EAGAIN). Handlers were installed after the configuration was read, so that a SIGHUP before that ended the process.

Change: handlers are the first thing that a process installs, and set a flag. Up to the moment at which clients may connect SIGTERM ends the process at once, as the default action did. No call that may fail stands between a signal and the flag.

--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -26,6 +26,7 @@
 
 pub use observers::Subscriber;
 pub use platform::config;
+pub use platform::signals::Signals;
 
 use crate::io_error::LOCAL_RETRY_DELAY;
 use boxes::Boxes;
@@ -44,7 +45,6 @@
 use platform::discovery::{Discovery, ListUpdate, PollResult};
 use platform::inherited;
 use platform::shared_ids::SharedIds;
-use platform::signals::Signals;
 use platform::start::open_at_start;
 use platform::start_times::StartTimes;
 use request::RequestTable;
@@ -115,20 +115,21 @@
 }
 
 impl Proxy {
-    /// Opens the listeners, and gives the balancer the list of cache nodes from the configuration.
+    /// Opens the listeners, and gives the balancer the list of cache nodes from the configuration. Signals that have come since
+    /// their handlers were installed are handled once the proxy runs.
     ///
     /// # Errors
     /// An address cannot be listened on, or a file or value named in the operator's file cannot be used.
     pub fn start(
         mut config: Config,
         operator: &operator::Operator,
+        mut signals: Signals,
     ) -> Result<Self, Box<dyn std::error::Error>> {
         let inherited = config.inherited_listener.as_deref().map(inherited::take_listener).transpose()?;
         let shared_ids = inherited.as_ref().and_then(open_shared_ids);
         let event_loop = open_at_start(EventLoop::new)?;
         let (registry, now) = (event_loop.registry(), event_loop.now);
-        let signals =
-            open_at_start(|| Signals::listen(registry, Source::Sigterm.token(), Source::Sighup.token()))?;
+        open_at_start(|| signals.wake(registry, Source::Sigterm.token(), Source::Sighup.token()))?;
         let descriptor_budget =
             DescriptorBudget::new(config.max_descriptors, reserved_descriptors(&config, operator));
         let memory = MemoryLimits::new(config.memory_mb, config.max_descriptors);
@@ -146,6 +147,7 @@
             operator.pipeline.commands_per_client,
         );
         let drained = persisted.state.drained;
+        signals.finish_start();
         if !drained {
             open_at_start(|| clients.listen(registry, Source::ClientListener.token()))?;
         }
@@ -235,7 +237,9 @@
             let work_due = control_due.into_iter().chain(self.boxes.next_write_at());
             let work_due = work_due.chain([self.discovery.next_wakeup()]);
             let work_due = work_due.chain(self.clients.next_work_at()).min();
-            if self.event_loop.wait(&mut events, work_due, has_more)? {
+            let has_waited = self.event_loop.wait(&mut events, work_due, has_more)?;
+            self.handle_signals();
+            if has_waited {
                 self.run_iteration(&events);
             }
         }
@@ -294,13 +298,23 @@
         }
     }
 
-    /// Handles the listeners, signals and discovery polls that are ready.
+    /// Handles the signals that have come. A signal also ends a wait early.
+    fn handle_signals(&mut self) {
+        if self.signals.take_terminate() {
+            self.event_loop.update_now();
+            self.handle_sigterm();
+        }
+        if self.signals.take_hangup() {
+            self.event_loop.update_now();
+            self.reload();
+        }
+    }
+
+    /// Handles the listeners and discovery polls that are ready.
     fn handle_listeners(&mut self, events: &Events) {
         for event in events {
             match Source::of(event) {
                 Source::ClientListener => self.clients.listener_ready(),
-                Source::Sigterm => self.handle_sigterm(),
-                Source::Sighup => self.reload(),
                 Source::AdminListener => self.admin.iter_mut().for_each(Admin::listener_ready),
                 Source::ControlListener => self.control.iter_mut().for_each(ControlEndpoint::listener_ready),
                 Source::Discovery(_) => {
@@ -308,6 +322,8 @@
                     let result = self.discovery.handle_ready(registry, event.token(), now);
                     self.handle_discovery(result);
                 }
+                // What came is known by its flag.
+                Source::Sigterm | Source::Sighup => continue,
                 Source::Client(_)
                 | Source::Node(_)
                 | Source::NodeRace(_)
@@ -425,7 +441,6 @@
     /// Reads the configuration file again and applies the address of discovery; all other settings take effect at the
     /// next start. If the file is not valid, the current configuration stays in force.
     fn reload(&mut self) {
-        self.signals.clear_hangup();
         match Config::from_env() {
             Err(e) if e.is_local_shortage() => {
                 let retry_at = self.event_loop.now + LOCAL_RETRY_DELAY;
@@ -498,7 +513,6 @@
     // ---- shutdown ----
 
     fn handle_sigterm(&mut self) {
-        self.signals.clear_terminate();
         // Copying of reads stops at once.
         self.shadow_traffic = None;
         self.change_count += 1;
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use trestlesill::config::Config;
-use trestlesill::Proxy;
+use trestlesill::{Proxy, Signals};
 
 const USAGE: &str = "usage: trestlesill [--operator FILE] [--check]; NODE_CONFIG names the configuration";
 
@@ -33,6 +33,8 @@
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
     let options = parse_options(std::env::args_os().skip(1))?;
+    // Before anything that may take time, since the platform may signal a process as soon as it has started it.
+    let signals = Signals::install()?;
     let config = Config::from_env_at_start()?;
     let operator = match &options.operator {
         Some(file) => Operator::load(file, &config.name)?,
@@ -41,7 +43,7 @@
     if options.check {
         Proxy::check(&config, &operator)?;
     } else {
-        Proxy::start(config, &operator)?.run()?;
+        Proxy::start(config, &operator, signals)?.run()?;
     }
     Ok(())
 }
--- a/crates/proxy/tests/signals.rs
+++ b/crates/proxy/tests/signals.rs
@@ -145,10 +145,12 @@
     }
 }
 
-/// Guards against a SIGTERM before a process is ready that is forgotten once it is.
+/// Guards against a SIGTERM before a process is ready that is forgotten, or waits until the start is over.
 #[test]
 fn sigterm_before_a_process_is_ready_ends_it() {
-    for faults in ["open ENFILE 1.0 until=800", "listen EADDRINUSE 1.0 until=800"] {
+    let faults =
+        ["open ENFILE 1.0 until=800", "open ENFILE 1.0 until=9000", "listen EADDRINUSE 1.0 until=800"];
+    for faults in faults {
         let mut setting = Setting::launch(faults);
         std::thread::sleep(Duration::from_millis(400));
         setting.signal("-TERM");
