An error of this machine is no failed call to discovery

Cause: platform/discovery did not use the classification of io_error. Each such error was a failed call, was followed by a backoff and doubled the next one, though discovery had seen nothing of it; a transfer without a buffer ended its connection, with the answer on it.

Change: a call that could not be made is tried again 10 ms later and changes no backoff.

--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -67,6 +67,8 @@
 const MAX_BACKOFF_DIVISOR: Nanos = 3;
 /// The longest backoff is at least this, however short the maximum poll interval is.
 const MIN_LONGEST_BACKOFF: Nanos = SECOND;
+/// The delay after an error of this machine, until a call can be tried that discovery has seen nothing of.
+const LOCAL_RETRY_DELAY: Nanos = 10 * MS;
 /// Attempts to reach an agent on this machine within one drain grace, and the bounds of the time between two.
 const AGENT_ATTEMPTS_PER_DRAIN_GRACE: Nanos = 5;
 const MIN_AGENT_RETRY_INTERVAL: Nanos = 20 * MS;
@@ -108,8 +110,12 @@
         if self.pushed {
             return 0;
         }
-        (Nanos::from(self.proxies) * SECOND / FLEET_CALLS_PER_SECOND)
-            .clamp(MIN_FLEET_SPREAD, MAX_FLEET_SPREAD)
+        self.fleet_spread().clamp(MIN_FLEET_SPREAD, MAX_FLEET_SPREAD)
+    }
+
+    /// The period over which a call of each proxy makes [`FLEET_CALLS_PER_SECOND`].
+    fn fleet_spread(&self) -> Nanos {
+        Nanos::from(self.proxies) * SECOND / FLEET_CALLS_PER_SECOND
     }
 }
 
@@ -209,7 +215,7 @@
         Some(wait)
     }
 
-    /// The latest call was refused or reset, or returned nothing usable.
+    /// Discovery could not be reached for the latest call, or turned it away.
     pub fn poll_failed(&mut self, now: Nanos) {
         self.failures += 1;
         let delay = if self.config.pushed {
@@ -220,6 +226,11 @@
         self.state = State::Idle { next_call: now + delay };
     }
 
+    /// The latest call could not be made for an error of this machine. Discovery has seen nothing of it, and it is no failure.
+    pub fn call_not_made(&mut self, now: Nanos) {
+        self.state = State::Idle { next_call: now + LOCAL_RETRY_DELAY };
+    }
+
     /// The address of discovery has changed; the calls in progress are over.
     pub fn discovery_moved(&mut self, now: Nanos) {
         self.failures = 0;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -255,6 +255,7 @@
         self.run_timers();
         let result = self.discovery.start_due_poll(self.event_loop.registry(), self.event_loop.now);
         self.handle_discovery(result);
+        self.retry_discovery_transfers();
         self.write_to_nodes();
         self.handle_listeners(events);
         self.read_clients(events);
@@ -409,6 +410,16 @@
 
     // ---- discovery ----
 
+    /// Goes on with the calls to discovery that this machine had no room for.
+    fn retry_discovery_transfers(&mut self) {
+        let now = self.event_loop.now;
+        while let Some(token) = self.discovery.due_transfer(now) {
+            let result = self.discovery.handle_ready(self.event_loop.registry(), token, now);
+            self.handle_discovery(result);
+            self.process_pending();
+        }
+    }
+
     fn handle_discovery(&mut self, result: Option<PollResult>) {
         match result {
             None => {}
--- a/crates/proxy/src/platform/discovery/mod.rs
+++ b/crates/proxy/src/platform/discovery/mod.rs
@@ -16,7 +16,7 @@
 use calicosaddle::api::Nanos;
 use freshness::{PollConfig, PollScheduler};
 use mio::{Registry, Token};
-use poll::{Call, Poll};
+use poll::{Call, Poll, PollFailure};
 use std::net::SocketAddr;
 
 const MS: Nanos = 1_000_000;
@@ -106,9 +106,16 @@
         self.unlisted_until
     }
 
-    /// When the next poll is due.
+    /// When the next poll is due, or a transfer of one in flight.
     pub fn next_wakeup(&self) -> Nanos {
-        self.scheduler.next_wakeup()
+        let retries = self.replaced.iter().chain(&self.latest).filter_map(Poll::retry_at);
+        retries.min().map_or(self.scheduler.next_wakeup(), |at| at.min(self.scheduler.next_wakeup()))
+    }
+
+    /// The token of a poll whose transfer is to be tried again by now.
+    pub fn due_transfer(&self, now: Nanos) -> Option<Token> {
+        let mut polls = self.replaced.iter().chain(&self.latest);
+        polls.find(|poll| poll.retry_at().is_some_and(|at| at <= now)).map(|poll| poll.token)
     }
 
     /// Starts a poll if one is due. It replaces the one in flight, whose response is still read.
@@ -126,12 +133,26 @@
         // slow discovery to respond.
         self.replaced.extend(self.latest.take().filter(|_| self.replaced.len() + 2 <= MAX_POLLS));
         let poll = self.open_poll(registry, wait, now);
-        self.latest = Some(poll.inspect_err(|_| self.scheduler.poll_failed(now))?);
+        self.latest = Some(poll.map_err(|failure| self.latest_failed(failure, now))?);
         Ok(())
     }
 
+    /// Has the next poll scheduled after the failure of the latest one, and returns what was wrong.
+    fn latest_failed(&mut self, failure: PollFailure, now: Nanos) -> ListError {
+        match failure {
+            PollFailure::NotMade(error) => {
+                self.scheduler.call_not_made(now);
+                error
+            }
+            PollFailure::Refused(error) => {
+                self.scheduler.poll_failed(now);
+                error
+            }
+        }
+    }
+
     /// Opens a connection for a request: for the updates since the known list version, or for the full list.
-    fn open_poll(&self, registry: &Registry, wait: Option<Nanos>, now: Nanos) -> Result<Poll, ListError> {
+    fn open_poll(&self, registry: &Registry, wait: Option<Nanos>, now: Nanos) -> Result<Poll, PollFailure> {
         let in_use =
             |token: &Token| self.replaced.iter().chain(&self.latest).any(|poll| poll.token == *token);
         let token = self.tokens.into_iter().find(|token| !in_use(token)).unwrap_or(self.tokens[0]);
@@ -148,10 +169,7 @@
             let was_long = self.latest.take().is_some_and(|poll| poll.is_long);
             match response.and_then(|update| self.check_version(update)) {
                 Ok(update) => (update, was_long),
-                Err(e) => {
-                    self.scheduler.poll_failed(now);
-                    return Some(PollResult::Failed(e));
-                }
+                Err(failure) => return Some(PollResult::Failed(self.latest_failed(failure, now))),
             }
         } else {
             let index = self.replaced.iter().position(|poll| poll.token == token)?;
@@ -182,14 +200,14 @@
     }
 
     /// Rejects a list that is older than the one in force, up to [`MAX_REJECTED_OLDER_LISTS`] times in a row.
-    fn check_version(&mut self, update: ListUpdate) -> Result<ListUpdate, ListError> {
+    fn check_version(&mut self, update: ListUpdate) -> Result<ListUpdate, PollFailure> {
         match self.version {
             Some(known)
                 if update.version < known
                     && !(update.full && self.older_lists >= MAX_REJECTED_OLDER_LISTS) =>
             {
                 self.older_lists += 1;
-                Err(ListError::Older(update.version, known))
+                Err(PollFailure::Refused(ListError::Older(update.version, known)))
             }
             _ => {
                 self.older_lists = 0;
--- a/crates/proxy/src/platform/discovery/poll.rs
+++ b/crates/proxy/src/platform/discovery/poll.rs
@@ -2,6 +2,7 @@
 
 use super::http::ResponseReader;
 use super::list::{read_list, ListError, ListUpdate, TopologyNames};
+use crate::io_error::{ErrorCause, LOCAL_RETRY_DELAY};
 use calicosaddle::api::Nanos;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
@@ -18,6 +19,28 @@
 const MAX_RESPONSE_TIME: Nanos = 10_000 * MS;
 /// The size of the read buffer.
 const READ_BUFFER_BYTES: usize = 16 << 10;
+/// No connection could be opened.
+const NO_CONNECTION: ListError = ListError::Http("no connection");
+/// The connection ended or broke.
+const CONNECTION_LOST: ListError = ListError::Http("connection lost");
+
+/// Why a poll brought no list.
+#[derive(Debug, PartialEq, Eq)]
+pub enum PollFailure {
+    /// This machine could not make the call.
+    NotMade(ListError),
+    /// Discovery could not be reached, or gave no usable answer.
+    Refused(ListError),
+}
+
+/// How far a poll has got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// The socket tells when it can go on.
+    Waiting,
+    /// The response is complete.
+    Complete,
+}
 
 /// What a request asks for.
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +69,19 @@
     /// When the first and the latest bytes of the response arrived.
     received_at: Option<(Nanos, Nanos)>,
     response: ResponseReader,
+    /// When a transfer is tried again that this machine had no room for.
+    retry_at: Option<Nanos>,
+}
+
+/// The failure that an error of opening a connection is.
+fn failure_of_connect(error: &io::Error) -> PollFailure {
+    match ErrorCause::of_connect(error) {
+        ErrorCause::Interrupted
+        | ErrorCause::WouldBlock
+        | ErrorCause::LocalShortage
+        | ErrorCause::NoRoute => PollFailure::NotMade(NO_CONNECTION),
+        ErrorCause::Peer => PollFailure::Refused(NO_CONNECTION),
+    }
 }
 
 impl Poll {
@@ -54,7 +90,7 @@
     ///
     /// # Errors
     /// The connection can't be opened.
-    pub fn open(registry: &Registry, token: Token, call: &Call, now: Nanos) -> Result<Poll, ListError> {
+    pub fn open(registry: &Registry, token: Token, call: &Call, now: Nanos) -> Result<Poll, PollFailure> {
         let Call { address, since, wait, max_body } = *call;
         let query = match since {
             Some(version) => format!("?since={version}&timeout_ms={}", wait.unwrap_or(0) / MS),
@@ -64,11 +100,10 @@
             "GET /catalog/members{query} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\
              Connection: close\r\n\r\n"
         );
-        let no_connection = |_| ListError::Http("no connection");
-        let mut stream = TcpStream::connect(address).map_err(no_connection)?;
+        let mut stream = TcpStream::connect(address).map_err(|error| failure_of_connect(&error))?;
         registry
             .register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)
-            .map_err(no_connection)?;
+            .map_err(|_| PollFailure::NotMade(NO_CONNECTION))?;
         Ok(Poll {
             token,
             stream,
@@ -78,6 +113,7 @@
             deadline: now + wait.unwrap_or(0) + RESPONSE_TIMEOUT,
             received_at: None,
             response: ResponseReader::new(max_body),
+            retry_at: None,
         })
     }
 
@@ -94,45 +130,84 @@
         self.deadline <= now && !is_arriving
     }
 
+    /// When a transfer is tried again that this machine had no room for.
+    pub fn retry_at(&self) -> Option<Nanos> {
+        self.retry_at
+    }
+
     /// Reads and writes as far as the socket allows, and returns the parsed response once the poll has ended.
-    pub fn advance(&mut self, names: &TopologyNames, now: Nanos) -> Option<Result<ListUpdate, ListError>> {
-        let json = match self.transfer(now) {
-            Ok(false) => return None,
-            Ok(true) => serde_json::from_slice(self.response.body()).map_err(|_| ListError::Json),
-            Err(e) => Err(e),
-        };
-        Some(json.and_then(|json| read_list(&json, names)))
+    pub fn advance(&mut self, names: &TopologyNames, now: Nanos) -> Option<Result<ListUpdate, PollFailure>> {
+        self.retry_at = None;
+        match self.transfer(now) {
+            Ok(Progress::Waiting) => None,
+            Ok(Progress::Complete) => {
+                let json = serde_json::from_slice(self.response.body()).map_err(|_| ListError::Json);
+                let update = json.and_then(|json| read_list(&json, names));
+                Some(update.map_err(PollFailure::Refused))
+            }
+            Err(failure) => Some(Err(failure)),
+        }
     }
 
-    /// Writes and reads as far as the socket allows. Returns true once the body is complete.
-    fn transfer(&mut self, now: Nanos) -> Result<bool, ListError> {
-        let lost = ListError::Http("connection lost");
+    /// Writes and reads as far as the socket allows.
+    fn transfer(&mut self, now: Nanos) -> Result<Progress, PollFailure> {
+        match self.write_request(now)? {
+            Progress::Complete => self.read_response(now),
+            Progress::Waiting => Ok(Progress::Waiting),
+        }
+    }
+
+    /// Writes what is left of the request.
+    fn write_request(&mut self, now: Nanos) -> Result<Progress, PollFailure> {
         while self.written < self.request.len() {
-            match self.stream.write(&self.request[self.written..]) {
-                Ok(n) => self.written += n,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
-                    return Ok(false)
+            let error = match self.stream.write(&self.request[self.written..]) {
+                Ok(written) => {
+                    self.written += written;
+                    continue;
                 }
-                Err(_) => return Err(lost),
+                Err(error) => error,
+            };
+            if error.kind() == io::ErrorKind::NotConnected {
+                return Ok(Progress::Waiting);
+            }
+            match ErrorCause::of(&error) {
+                ErrorCause::Interrupted => {}
+                ErrorCause::WouldBlock => return Ok(Progress::Waiting),
+                ErrorCause::LocalShortage => return Ok(self.retry_later(now)),
+                ErrorCause::NoRoute => return Err(PollFailure::NotMade(CONNECTION_LOST)),
+                ErrorCause::Peer => return Err(PollFailure::Refused(CONNECTION_LOST)),
             }
         }
+        Ok(Progress::Complete)
+    }
+
+    /// Reads the response up to its end, or until the socket is empty.
+    fn read_response(&mut self, now: Nanos) -> Result<Progress, PollFailure> {
         let mut buffer = [0; READ_BUFFER_BYTES];
-        loop {
-            match self.stream.read(&mut buffer) {
-                Ok(0) if self.response.ends_with_connection() => return Ok(true),
-                Ok(0) => return Err(lost),
-                Ok(n) => {
+        while !self.response.is_complete() {
+            let error = match self.stream.read(&mut buffer) {
+                Ok(0) if self.response.ends_with_connection() => break,
+                Ok(0) => return Err(PollFailure::Refused(CONNECTION_LOST)),
+                Ok(length) => {
                     self.received_at = Some((self.received_at.map_or(now, |(first, _)| first), now));
-                    self.response.parse(&buffer[..n])?;
+                    self.response.parse(&buffer[..length]).map_err(PollFailure::Refused)?;
+                    continue;
                 }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
-                Err(_) => return Err(lost),
-            }
-            if self.response.is_complete() {
-                return Ok(true);
+                Err(error) => error,
+            };
+            match ErrorCause::of(&error) {
+                ErrorCause::Interrupted => {}
+                ErrorCause::WouldBlock => return Ok(Progress::Waiting),
+                ErrorCause::LocalShortage => return Ok(self.retry_later(now)),
+                ErrorCause::NoRoute | ErrorCause::Peer => return Err(PollFailure::Refused(CONNECTION_LOST)),
             }
         }
+        Ok(Progress::Complete)
+    }
+
+    /// Has the transfer tried again after a short wait.
+    fn retry_later(&mut self, now: Nanos) -> Progress {
+        self.retry_at = Some(now + LOCAL_RETRY_DELAY);
+        Progress::Waiting
     }
 }
