An answer of discovery that was written and lost is asked for again within the grace

This needs no fault of the proxy's machine: a reset under an answer is enough.

Cause: what discovery writes counts as notified at once, but a connection that broke behind a written call was a failed call like one that was refused: it was followed by a delay of up to 0.4 s (3.5 s in large fleets), then 0.8 s, 1.6 s. What came and was no list, too.

Change: freshness knows three results: not made, refused, answer lost. After a lost answer the call is repeated twice within the grace, in fleets of any size if the answer had begun, in those of up to ten otherwise, where all can do so at once; then backoffs begin. A read that fails is no end of what the socket holds: it is read on up to EAGAIN or its end, and an end behind an error is no end of a response without a length.

Open: in fleets of over ten a connection that breaks before its answer has begun is repeated after up to n/100 s, 0.4 s at least, as before: it can't be told from all watches ending as discovery goes down.

--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -13,6 +13,7 @@
 //! | either | a call stopped answering | 6 s after it began, or 2 s after its wait if that is later |
 //! | either | discovery has moved (SIGHUP) | 4 s after the signal |
 //! | polled | no call has been answered since the start | 6 s after discovery had it, at the latest: the list that a process starts with is of unknown age |
+//! | polled | an answer was written | at once, whether or not it can be read |
 //! | polled | a call failed | 6 s after discovery had it and could be reached, at the latest |
 //! | polled | no watch is open | once the settings' maximum poll interval has passed since the last call, four times that if the call failed |
 //! | pushed | no watch is open, or the process has just started | at once: the agent on this machine has it |
@@ -67,6 +68,10 @@
 const MAX_BACKOFF_DIVISOR: Nanos = 3;
 /// The longest backoff is at least this, however short the maximum poll interval is.
 const MIN_LONGEST_BACKOFF: Nanos = SECOND;
+/// Calls that are repeated at once, before backoffs begin, when their answers were lost: what was in them counts as notified.
+const MAX_PROMPT_REPEATS: u32 = 2;
+/// Each of these calls begins within this part of the drain grace.
+const PROMPT_REPEATS_PER_DRAIN_GRACE: Nanos = 5;
 /// The delay after an error of this machine, until a call can be tried that discovery has seen nothing of.
 const LOCAL_RETRY_DELAY: Nanos = 10 * MS;
 /// Attempts to reach an agent on this machine within one drain grace, and the bounds of the time between two.
@@ -141,6 +146,8 @@
     failures: u32,
     /// Since the last list, the calls of all proxies have been spread by [`PollScheduler::spread_delay`].
     is_spread: bool,
+    /// Calls repeated at once since the last list because their answers were lost.
+    prompt_repeats: u32,
     /// The earliest moment at which an update that this proxy may have missed counts as notified. Unused where lists are
     /// pushed: failed calls are repeated so soon there ([`PollScheduler::agent_retry_interval`]) that the time does not
     /// matter.
@@ -156,6 +163,7 @@
             state: State::Idle { next_call: now },
             failures: 0,
             is_spread: true,
+            prompt_repeats: 0,
             missed_update_deadline: None,
         };
         scheduler.state = State::Idle { next_call: now + scheduler.spread_delay(config.first_call_spread()) };
@@ -209,7 +217,8 @@
         if !latest && matches!(self.state, State::Watching { .. }) {
             return None;
         }
-        (self.failures, self.is_spread, self.missed_update_deadline) = (0, false, None);
+        (self.failures, self.is_spread, self.prompt_repeats) = (0, false, 0);
+        self.missed_update_deadline = None;
         let wait = if self.config.pushed { WATCH_WAIT_PUSHED } else { WATCH_WAIT };
         self.state = State::Watching { began: now, wait_end: now + wait, timeout: now + wait + WATCH_GRACE };
         Some(wait)
@@ -226,6 +235,26 @@
         self.state = State::Idle { next_call: now + delay };
     }
 
+    /// Discovery had the latest call, and no usable answer could be read: the connection broke, or what came is no list. What discovery
+    /// may have written counts as notified, so the call is repeated within the drain grace. `has_begun` says that a part of the
+    /// answer came.
+    ///
+    /// All watches break at once when discovery goes down. Unless an answer had begun, only proxies that are so few that they can all
+    /// repeat their calls within the grace do so.
+    pub fn answer_lost(&mut self, now: Nanos, has_begun: bool) {
+        let longest_spread = self.config.drain_grace / PROMPT_REPEATS_PER_DRAIN_GRACE;
+        let spread = self.config.fleet_spread();
+        let is_prompt = self.prompt_repeats < MAX_PROMPT_REPEATS && (has_begun || spread <= longest_spread);
+        if self.config.pushed || !is_prompt {
+            self.poll_failed(now);
+            return;
+        }
+        self.prompt_repeats += 1;
+        self.is_spread = true;
+        let delay = self.spread_delay(spread.min(longest_spread)).min(self.longest_step(now));
+        self.state = State::Idle { next_call: now + delay };
+    }
+
     /// The latest call could not be made for an error of this machine. Discovery has seen nothing of it, and it is no failure.
     pub fn call_not_made(&mut self, now: Nanos) {
         self.state = State::Idle { next_call: now + LOCAL_RETRY_DELAY };
@@ -233,7 +262,7 @@
 
     /// The address of discovery has changed; the calls in progress are over.
     pub fn discovery_moved(&mut self, now: Nanos) {
-        self.failures = 0;
+        (self.failures, self.prompt_repeats) = (0, 0);
         self.missed_update_deadline = Some(now + NOTIFIED_AFTER_MOVE);
         self.state = State::Idle { next_call: now };
     }
--- a/crates/proxy/src/platform/discovery/mod.rs
+++ b/crates/proxy/src/platform/discovery/mod.rs
@@ -148,6 +148,10 @@
                 self.scheduler.poll_failed(now);
                 error
             }
+            PollFailure::AnswerLost { error, has_begun } => {
+                self.scheduler.answer_lost(now, has_begun);
+                error
+            }
         }
     }
 
--- a/crates/proxy/src/platform/discovery/poll.rs
+++ b/crates/proxy/src/platform/discovery/poll.rs
@@ -24,13 +24,23 @@
 /// The connection ended or broke.
 const CONNECTION_LOST: ListError = ListError::Http("connection lost");
 
+/// Reads that may fail, one after the other, before a connection counts as lost. One that is lost tells its end after an error.
+const MAX_READ_ERRORS: u32 = 16;
+
 /// Why a poll brought no list.
 #[derive(Debug, PartialEq, Eq)]
 pub enum PollFailure {
     /// This machine could not make the call.
     NotMade(ListError),
-    /// Discovery could not be reached, or gave no usable answer.
+    /// Discovery could not be reached, or turned the call away.
     Refused(ListError),
+    /// Discovery had the call, and no usable answer could be read. `has_begun` says that a part of it came.
+    AnswerLost {
+        /// What was wrong.
+        error: ListError,
+        /// A part of the answer came.
+        has_begun: bool,
+    },
 }
 
 /// How far a poll has got.
@@ -69,6 +79,8 @@
     /// When the first and the latest bytes of the response arrived.
     received_at: Option<(Nanos, Nanos)>,
     response: ResponseReader,
+    /// A read has failed with an error of the connection.
+    has_read_error: bool,
     /// When a transfer is tried again that this machine had no room for.
     retry_at: Option<Nanos>,
 }
@@ -113,6 +125,7 @@
             deadline: now + wait.unwrap_or(0) + RESPONSE_TIMEOUT,
             received_at: None,
             response: ResponseReader::new(max_body),
+            has_read_error: false,
             retry_at: None,
         })
     }
@@ -143,12 +156,17 @@
             Ok(Progress::Complete) => {
                 let json = serde_json::from_slice(self.response.body()).map_err(|_| ListError::Json);
                 let update = json.and_then(|json| read_list(&json, names));
-                Some(update.map_err(PollFailure::Refused))
+                Some(update.map_err(|error| self.answer_lost(error)))
             }
             Err(failure) => Some(Err(failure)),
         }
     }
 
+    /// The failure of a poll that discovery had.
+    fn answer_lost(&self, error: ListError) -> PollFailure {
+        PollFailure::AnswerLost { error, has_begun: self.received_at.is_some() }
+    }
+
     /// Writes and reads as far as the socket allows.
     fn transfer(&mut self, now: Nanos) -> Result<Progress, PollFailure> {
         match self.write_request(now)? {
@@ -181,16 +199,21 @@
         Ok(Progress::Complete)
     }
 
-    /// Reads the response up to its end, or until the socket is empty.
+    /// Reads the response up to its end, or until the socket is empty. A read that fails does not say so: what the connection
+    /// has brought is read up to EAGAIN or its end.
     fn read_response(&mut self, now: Nanos) -> Result<Progress, PollFailure> {
         let mut buffer = [0; READ_BUFFER_BYTES];
+        let mut errors = 0;
         while !self.response.is_complete() {
             let error = match self.stream.read(&mut buffer) {
-                Ok(0) if self.response.ends_with_connection() => break,
-                Ok(0) => return Err(PollFailure::Refused(CONNECTION_LOST)),
+                // The end behind an error is that of a connection that was reset, and not of the response.
+                Ok(0) if self.response.ends_with_connection() && !self.has_read_error => break,
+                Ok(0) => return Err(self.answer_lost(CONNECTION_LOST)),
                 Ok(length) => {
                     self.received_at = Some((self.received_at.map_or(now, |(first, _)| first), now));
-                    self.response.parse(&buffer[..length]).map_err(PollFailure::Refused)?;
+                    self.response
+                        .parse(&buffer[..length])
+                        .map_err(|error| self.failure_of_response(error))?;
                     continue;
                 }
                 Err(error) => error,
@@ -199,12 +222,26 @@
                 ErrorCause::Interrupted => {}
                 ErrorCause::WouldBlock => return Ok(Progress::Waiting),
                 ErrorCause::LocalShortage => return Ok(self.retry_later(now)),
-                ErrorCause::NoRoute | ErrorCause::Peer => return Err(PollFailure::Refused(CONNECTION_LOST)),
+                ErrorCause::NoRoute | ErrorCause::Peer => {
+                    self.has_read_error = true;
+                    errors += 1;
+                    if errors >= MAX_READ_ERRORS {
+                        return Err(self.answer_lost(CONNECTION_LOST));
+                    }
+                }
             }
         }
         Ok(Progress::Complete)
     }
 
+    /// The failure that a malformed response, or one with another status, is.
+    fn failure_of_response(&self, error: ListError) -> PollFailure {
+        match error {
+            ListError::Status(_) => PollFailure::Refused(error),
+            error => self.answer_lost(error),
+        }
+    }
+
     /// Has the transfer tried again after a short wait.
     fn retry_later(&mut self, now: Nanos) -> Progress {
         self.retry_at = Some(now + LOCAL_RETRY_DELAY);
--- a/crates/proxy/tests/drains.rs
+++ b/crates/proxy/tests/drains.rs
@@ -1,7 +1,7 @@
 //! Drains are kept under faults of system calls, signals and discovery (`testkit::drains`).
 
 use std::time::Duration;
-use testkit::drains::{Delivery, DrainPlay, Incident};
+use testkit::drains::{Delivered, Delivery, DrainPlay, Incident};
 
 /// Seeds of what is drawn; each is played.
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -55,6 +55,24 @@
     assert_drains_are_kept(plays);
 }
 
+/// Guards against an answer that was written, is lost on its way, and is asked for again after a backoff: two in a row.
+#[test]
+fn an_answer_that_is_lost_on_its_way_is_had_within_the_grace() {
+    let mut plays = Vec::new();
+    for (proxies, delivered) in [
+        (1, Delivered::Lost(2)),
+        (8, Delivered::Lost(2)),
+        (1, Delivered::Halved(2)),
+        (8, Delivered::Halved(2)),
+        (300, Delivered::Halved(2)),
+    ] {
+        for delivery in [Delivery::Pushed, Delivery::Polled] {
+            plays.push(DrainPlay { proxies, delivered, ..DrainPlay::new(delivery, "", 1) });
+        }
+    }
+    assert_drains_are_kept(plays);
+}
+
 /// Guards against errors of this machine that count as failed calls to discovery and delay the next one.
 #[test]
 fn errors_of_this_machine_delay_no_call_to_discovery() {
--- a/crates/testkit/src/drains/discovery.rs
+++ b/crates/testkit/src/drains/discovery.rs
@@ -10,6 +10,8 @@
 
 /// The longest request head that is read, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
+/// The time between the bytes of an answer that breaks off and the reset.
+const RESET_DELAY: Duration = Duration::from_millis(5);
 /// The longest wait of a long poll.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
@@ -23,6 +25,17 @@
     version: u64,
 }
 
+/// What becomes of answers that tell of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivered {
+    /// They arrive.
+    Whole,
+    /// So many in a row are lost before each that arrives: the connection is reset.
+    Lost(u32),
+    /// So many in a row break off half way, with a reset.
+    Halved(u32),
+}
+
 /// The list, and the record of what was written.
 #[derive(Debug)]
 struct State {
@@ -32,6 +45,9 @@
     written_at: Vec<Option<Instant>>,
     calls: usize,
     is_frozen: bool,
+    delivered: Delivered,
+    /// Answers with changes that were lost since one arrived.
+    lost_in_a_row: u32,
 }
 
 /// A running discovery service.
@@ -61,6 +77,8 @@
             written_at: vec![None; nodes.len()],
             calls: 0,
             is_frozen: false,
+            delivered: Delivered::Whole,
+            lost_in_a_row: 0,
         };
         let service = Arc::new(ListService {
             address: listener.local_addr().expect("an address"),
@@ -114,6 +132,11 @@
         self.lock().is_frozen = true;
     }
 
+    /// Sets what becomes of answers that tell of a change.
+    pub fn deliver(&self, delivered: Delivered) {
+        self.lock().delivered = delivered;
+    }
+
     /// When a list in which the node drains was first written.
     pub fn written_at(&self, node: usize) -> Option<Instant> {
         self.lock().written_at[node]
@@ -137,13 +160,21 @@
         };
         let since = number("since");
         let wait = Duration::from_millis(number("timeout_ms").unwrap_or(0)).min(MAX_WAIT);
-        let body = self.answer(since, wait).to_string();
+        let (list, arriving_share) = self.answer(since, wait);
+        let body = list.to_string();
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", body.len());
-        let _ = stream.write_all((head + &body).as_bytes());
+        let answer = (head + &body).into_bytes();
+        let arriving = (answer.len() as f64 * arriving_share) as usize;
+        let _ = stream.write_all(&answer[..arriving]);
+        if arriving < answer.len() {
+            // What was written has time to arrive before the reset.
+            std::thread::sleep(RESET_DELAY);
+            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
     }
 
-    /// The answer to a call, once it is due. It counts as written from now on.
-    fn answer(&self, since: Option<u64>, wait: Duration) -> Value {
+    /// The answer to a call, once it is due, and which share of it arrives. It counts as written from now on.
+    fn answer(&self, since: Option<u64>, wait: Duration) -> (Value, f64) {
         let is_waiting = |state: &mut State| since == Some(state.version);
         let waited = self.changed.wait_timeout_while(self.lock(), wait, is_waiting);
         let (mut state, _) = waited.unwrap_or_else(PoisonError::into_inner);
@@ -158,7 +189,28 @@
             }
         }
         let hosts: Vec<Value> = listed.iter().map(|number| host_of(&state.entries[*number])).collect();
-        json!({"seq": state.version, "whole": since.is_none(), "hosts": hosts})
+        let list = json!({"seq": state.version, "whole": since.is_none(), "hosts": hosts});
+        (list, state.arriving_share(!listed.is_empty()))
+    }
+}
+
+impl State {
+    /// Which share of the next answer arrives.
+    fn arriving_share(&mut self, tells_of_change: bool) -> f64 {
+        let (lost, share) = match self.delivered {
+            Delivered::Whole => (0, 1.0),
+            Delivered::Lost(lost) => (lost, 0.0),
+            Delivered::Halved(lost) => (lost, 0.5),
+        };
+        if !tells_of_change {
+            return 1.0;
+        }
+        if self.lost_in_a_row >= lost {
+            self.lost_in_a_row = 0;
+            return 1.0;
+        }
+        self.lost_in_a_row += 1;
+        share
     }
 }
 
--- a/crates/testkit/src/drains/mod.rs
+++ b/crates/testkit/src/drains/mod.rs
@@ -6,7 +6,7 @@
 
 mod discovery;
 
-pub use discovery::ListService;
+pub use discovery::{Delivered, ListService};
 
 use crate::scripted::{answering, cached, config, encode, list, Peer, Proxy};
 use serde_json::{json, Value};
@@ -75,6 +75,8 @@
     pub proxies: u32,
     /// What happens beside.
     pub incident: Incident,
+    /// What becomes of discovery's answers that tell of a change.
+    pub delivered: Delivered,
     /// How long it lasts.
     pub lasts: Duration,
 }
@@ -151,6 +153,7 @@
             seed,
             proxies: 1,
             incident: Incident::None,
+            delivered: Delivered::Whole,
             lasts: Duration::from_secs(12),
         }
     }
@@ -178,6 +181,7 @@
         let (addresses, arrivals): (Vec<_>, Vec<_>) = (0..NODES).map(|_| recording_node()).unzip();
         let service = ListService::start(FIRST_VERSION, &addresses);
         let second_service = ListService::start(FIRST_VERSION, &addresses);
+        [&service, &second_service].into_iter().for_each(|service| service.deliver(self.delivered));
         let faults = self.faults.replace("DISCOVERY", &service.address().port().to_string());
         let proxy = Proxy::faulty_with(self.configuration(&service, &addresses), &faults, self.seed);
         Run {
