Versions that begin again are told from late copies by the order of connections

Cause: three lists of lower versions in a row were refused whatever spoke for them, each followed by a longer backoff, while what discovery writes counts as notified.

Change: versions.rs has the version in force. An answer on a connection that was begun before the list in force came is a late copy. Another one is asked about at once, for the full list; if that has a lower version too, on a connection begun after the first answer, it takes the place of the list in force, and what earlier calls still bring is dropped. A list from the configuration was not received from this discovery: the count of three holds for it as before.

--- a/crates/proxy/src/platform/discovery/mod.rs
+++ b/crates/proxy/src/platform/discovery/mod.rs
@@ -7,6 +7,7 @@
 mod http;
 mod list;
 mod poll;
+mod versions;
 
 #[cfg(test)]
 pub use list::Host;
@@ -18,6 +19,7 @@
 use mio::{Registry, Token};
 use poll::{Call, Poll, PollFailure};
 use std::net::SocketAddr;
+use versions::ListVersion;
 
 const MS: Nanos = 1_000_000;
 /// The maximum number of polls in flight: the latest one, and earlier ones that have not been answered.
@@ -26,10 +28,6 @@
 const BODY_MEMORY_DIVISOR: u64 = 16;
 /// ... but it is at least this many bytes, enough for about 4,000 cache nodes in indented JSON.
 const MIN_BODY_LIMIT_BYTES: usize = 1 << 20;
-/// This many consecutive lists older than the one in force are rejected; a full list after them is accepted. A lagging
-/// replica of discovery would otherwise bring back removed cache nodes, while a discovery whose counter was reset has
-/// to be accepted after some seconds.
-const MAX_REJECTED_OLDER_LISTS: u32 = 3;
 
 /// The result of a poll.
 #[derive(Debug, PartialEq)]
@@ -46,15 +44,13 @@
     address: SocketAddr,
     names: TopologyNames,
     scheduler: PollScheduler,
-    version: Option<u64>,
+    version: ListVersion,
     /// When this client was created, at the start of the process.
     started_at: Nanos,
     /// When discovery last responded with a valid list.
     updated_at: Option<Nanos>,
     /// Until when the list did not have the changes of the last response.
     unlisted_until: Option<Nanos>,
-    /// The number of consecutive lists that were older than the one in force.
-    older_lists: u32,
     tokens: [Token; MAX_POLLS],
     /// The maximum size of a response body, in bytes.
     max_body: usize,
@@ -70,11 +66,10 @@
             address: config.discovery,
             names: config.topology.clone(),
             scheduler: PollScheduler::new(PollConfig::from(&config.settings), config.seed, now),
-            version,
+            version: ListVersion::configured(version),
             started_at: now,
             updated_at: None,
             unlisted_until: None,
-            older_lists: 0,
             tokens,
             max_body: ((config.memory_mb << 20) / BODY_MEMORY_DIVISOR).max(MIN_BODY_LIMIT_BYTES as u64)
                 as usize,
@@ -86,7 +81,7 @@
     /// Switches to discovery at another address. Polls in flight are dropped. The versions of two discovery
     /// services are not comparable, so the next poll requests the full list.
     pub fn change_address(&mut self, address: SocketAddr, now: Nanos) {
-        (self.address, self.version, self.older_lists, self.latest) = (address, None, 0, None);
+        (self.address, self.version, self.latest) = (address, ListVersion::configured(None), None);
         self.replaced.clear();
         self.scheduler.discovery_moved(now);
     }
@@ -98,7 +93,7 @@
 
     /// The version of the list, and when discovery last responded with a valid list.
     pub fn last_list(&self) -> (Option<u64>, Option<Nanos>) {
-        (self.version, self.updated_at)
+        (self.version.get(), self.updated_at)
     }
 
     /// Until when the list did not have the changes of the last response; `None` if that is not known.
@@ -160,7 +155,7 @@
         let in_use =
             |token: &Token| self.replaced.iter().chain(&self.latest).any(|poll| poll.token == *token);
         let token = self.tokens.into_iter().find(|token| !in_use(token)).unwrap_or(self.tokens[0]);
-        let call = Call { address: self.address, since: self.version, wait, max_body: self.max_body };
+        let call = Call { address: self.address, since: self.version.since(), wait, max_body: self.max_body };
         Poll::open(registry, token, &call, now)
     }
 
@@ -170,9 +165,9 @@
         let is_latest = self.latest.as_ref().is_some_and(|poll| poll.token == token);
         let (update, was_long) = if is_latest {
             let response = self.latest.as_mut()?.advance(&self.names, now)?;
-            let was_long = self.latest.take().is_some_and(|poll| poll.is_long);
-            match response.and_then(|update| self.check_version(update)) {
-                Ok(update) => (update, was_long),
+            let poll = self.latest.take()?;
+            match response.and_then(|update| self.check_version(update, poll.began_at, now)) {
+                Ok(update) => (update, poll.is_long),
                 Err(failure) => return Some(PollResult::Failed(self.latest_failed(failure, now))),
             }
         } else {
@@ -180,18 +175,25 @@
             let response = self.replaced[index].advance(&self.names, now)?;
             self.replaced.remove(index);
             // An older list is ignored: a later poll has delivered a newer one since.
-            let update = response.ok().filter(|u| self.version.is_none_or(|known| u.version >= known))?;
+            let update =
+                response.ok().filter(|u| self.version.get().is_none_or(|known| u.version >= known))?;
             (update, true)
         };
         if self.updated_at.is_none() {
             let elapsed_ms = now.saturating_sub(self.started_at) / MS;
             eprintln!("discovery: first list {elapsed_ms} ms after the start, version {}", update.version);
         }
-        let is_newer = self.version != Some(update.version);
+        if self.version.get().is_some_and(|current| update.version < current) {
+            // What earlier calls still bring is of the versions before.
+            eprintln!("discovery: versions begin again at {}", update.version);
+            self.replaced.clear();
+        }
+        let is_newer = self.version.get() != Some(update.version);
         // Discovery answers a long poll as soon as there is something newer. A replaced poll may be answered late.
         let is_prompt = is_latest && was_long;
         self.unlisted_until = self.updated_at.map(|before| if is_prompt { now } else { before });
-        (self.version, self.updated_at) = (Some(update.version), Some(now));
+        self.version.replace(update.version, now);
+        self.updated_at = Some(now);
         if let Some(wait) = self.scheduler.list_received(now, is_latest) {
             // The next long poll starts at once: discovery counts a poll more than 200 ms after the last response as a
             // new watch. The list just received is used even if it can't start.
@@ -203,21 +205,18 @@
         reported.then_some(PollResult::Update(update))
     }
 
-    /// Rejects a list that is older than the one in force, up to [`MAX_REJECTED_OLDER_LISTS`] times in a row.
-    fn check_version(&mut self, update: ListUpdate) -> Result<ListUpdate, PollFailure> {
-        match self.version {
-            Some(known)
-                if update.version < known
-                    && !(update.full && self.older_lists >= MAX_REJECTED_OLDER_LISTS) =>
-            {
-                self.older_lists += 1;
-                Err(PollFailure::Refused(ListError::Older(update.version, known)))
-            }
-            _ => {
-                self.older_lists = 0;
-                Ok(update)
-            }
+    /// Rejects a list that may not take the place of the one in force.
+    fn check_version(
+        &mut self,
+        update: ListUpdate,
+        call_began: Nanos,
+        now: Nanos,
+    ) -> Result<ListUpdate, PollFailure> {
+        if self.version.accepts(&update, call_began, now) {
+            return Ok(update);
         }
+        let error = ListError::Older(update.version, self.version.get().unwrap_or_default());
+        Err(PollFailure::AnswerLost { error, has_begun: true })
     }
 
     /// Replaces a poll whose response has stalled, and drops replaced polls that are past their deadline.
--- a/crates/proxy/src/platform/discovery/poll.rs
+++ b/crates/proxy/src/platform/discovery/poll.rs
@@ -73,6 +73,8 @@
     stream: TcpStream,
     request: Vec<u8>,
     written: usize,
+    /// When its connection was begun.
+    pub began_at: Nanos,
     /// True for a long poll, which discovery answers when the list changes.
     pub is_long: bool,
     deadline: Nanos,
@@ -121,6 +123,7 @@
             stream,
             request: request.into_bytes(),
             written: 0,
+            began_at: now,
             is_long: wait.is_some(),
             deadline: now + wait.unwrap_or(0) + RESPONSE_TIMEOUT,
             received_at: None,
--- a/crates/proxy/tests/freshness.rs
+++ b/crates/proxy/tests/freshness.rs
@@ -183,6 +183,27 @@
     assert!(log.contains("discovery: seq 40 is older than 41, which is in force"), "{log}");
 }
 
+/// Guards against an older list that is believed because of one answer: drains that were notified would be forgotten.
+#[test]
+fn one_older_list_is_asked_about_at_once_and_not_believed() {
+    for mode in ["automatic", "subscribe"] {
+        let (nodes, discovery) = (Server::many(2), Server::start());
+        let proxy = start_proxy(&nodes, &discovery, mode);
+        accept_call(&discovery).0.list(&list(42, true, &draining_hosts(&nodes)));
+        let older =
+            list(41, true, &[host("s-0", nodes.addresses[0], "up"), host("s-1", nodes.addresses[1], "up")]);
+        accept_call(&discovery).0.list(&older);
+        let answered = Instant::now();
+        let mut call = discovery.accept();
+        let target = call.request();
+        assert!(answered.elapsed() < Duration::from_millis(350), "{mode}: {:?}", answered.elapsed());
+        assert!(!target.contains("since"), "{mode}: {target} does not ask for the full list");
+        call.list(&list(42, true, &draining_hosts(&nodes)));
+        assert!(accept_call(&discovery).1 > 0);
+        assert_reads_go_to_first_node(&proxy, &nodes);
+    }
+}
+
 /// Guards against late first calls of restarted processes in a large fleet: an update that was published before they
 /// started counts as notified 6 s after its publication.
 #[test]
