The agent and trestlectl dev note signals by flags, too

Need: the same mistake as in the proxy, found by looking for it: tokio's and signal-hook's iterators wake their readers by a write to a socket, whose failure loses the signal.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,16 +2,21 @@
 
 use clap::Parser;
 use rustix::fs::{flock, FlockOperation, Mode};
+use signal_hook::consts::{SIGINT, SIGTERM};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::{TcpListener, UnixListener};
-use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use trestle_agent::api::Api;
 use trestle_agent::host::{Host, Message};
 
+/// How often the agent looks whether a signal has come. Its handler sets a flag only: a write that wakes the agent may fail.
+const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Runs trestlesill proxies and keeps them in the desired state. Stops on SIGTERM or SIGINT; the proxies keep running
 /// and are adopted by the next agent on the same folder.
 #[derive(Debug, Parser)]
@@ -58,7 +63,17 @@
     Ok(bound.map_err(|e| format!("{}: {e}", path.display()))?)
 }
 
+/// Returns a flag that SIGTERM and SIGINT set from now on.
+fn stop_flag() -> std::io::Result<Arc<AtomicBool>> {
+    let stop_requested = Arc::new(AtomicBool::new(false));
+    for signal in [SIGTERM, SIGINT] {
+        signal_hook::flag::register(signal, stop_requested.clone())?;
+    }
+    Ok(stop_requested)
+}
+
 async fn run(options: Options) -> RunResult<()> {
+    let stop_requested = stop_flag()?;
     std::fs::create_dir_all(&options.dir).map_err(|e| format!("{}: {e}", options.dir.display()))?;
     let dir = options.dir.canonicalize()?;
     let lock = std::fs::File::create(dir.join("lock"))?;
@@ -89,11 +104,9 @@
         println!("api {}", listener.local_addr()?);
         tokio::spawn(api.serve_tcp(listener, token));
     }
-    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     tokio::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+        while !stop_requested.load(Ordering::Acquire) {
+            tokio::time::sleep(SIGNAL_CHECK_INTERVAL).await;
         }
         let _ = messages.send(Message::Stop);
     });
--- a/crates/agent/tests/agent.rs
+++ b/crates/agent/tests/agent.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::unix::net::UnixStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use testkit::agent::{http, Agent};
 use testkit::controller::Controller;
 use testkit::scripted::PATIENCE;
@@ -414,3 +414,26 @@
     agent
         .wait("the next agent is connected to n1", ROLLOUT_TIMEOUT, |a| state(a, "n1")["state"] == "stopped");
 }
+
+/// Guards against a SIGTERM that is lost because its handler could not write.
+#[test]
+fn sigterm_ends_an_agent_while_the_signal_can_not_be_written() {
+    let folder = testkit::process::Folder::new("agent-signals").expect("a folder");
+    let faults = "send EINTR 1.0 family=unix after=500; write EINTR 1.0 family=unix after=500";
+    let faults = testkit::process::SystemCallFaults { rules: faults.into(), seed: 1 };
+    let mut command = std::process::Command::new(testkit::program("trestle-agent"));
+    command.arg("--dir").arg(&folder.0).stdout(std::process::Stdio::null());
+    faults.apply(&mut command);
+    let mut child = command.spawn().expect("it starts");
+    std::thread::sleep(Duration::from_millis(1_000));
+    let id = child.id().to_string();
+    assert!(std::process::Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+    let signalled = Instant::now();
+    while child.try_wait().expect("a child").is_none() {
+        if signalled.elapsed() > Duration::from_secs(5) {
+            child.kill().expect("killed");
+            panic!("it does not end");
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- a/crates/ctl/src/dev.rs
+++ b/crates/ctl/src/dev.rs
@@ -2,7 +2,6 @@
 
 use serde_json::json;
 use signal_hook::consts::{SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
 use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -14,6 +13,8 @@
 
 /// The timeout for a proxy to answer `PING` after its start.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// How often it is looked whether a signal has come. Its handler sets a flag only: a write that wakes this program may fail.
+const SIGNAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The time within which a proxy exits by itself after SIGTERM: its longest deadline and 0.7 s more.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_millis(1_800);
 
@@ -74,7 +75,6 @@
 /// Runs until SIGINT or SIGTERM, and leaves no processes or files behind.
 pub fn run(options: &Options, json: bool) -> Result<(), Box<dyn std::error::Error>> {
     // Registered before anything is started, so that an early signal leaves no proxies behind.
-    let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let stop_requested = Arc::new(AtomicBool::new(false));
     for signal in [SIGINT, SIGTERM] {
         signal_hook::flag::register(signal, stop_requested.clone())?;
@@ -110,7 +110,7 @@
         }
     }
     while !stop_requested.load(Ordering::Relaxed) {
-        signals.wait();
+        std::thread::sleep(SIGNAL_CHECK_INTERVAL);
     }
     for proxy in &running {
         proxy.signal("-TERM")?;
--- a/crates/ctl/tests/dev.rs
+++ b/crates/ctl/tests/dev.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
+use testkit::process::SystemCallFaults;
 use testkit::scripted::{Peer, PATIENCE};
 
 fn dev(args: &[&str], temporary: &std::path::Path) -> (Child, BufReader<std::process::ChildStdout>) {
@@ -72,6 +73,33 @@
     assert_eq!(std::fs::read_dir(&folder.0).expect("read").count(), 0);
 }
 
+/// Guards against a SIGTERM that is lost because its handler could not write.
+#[test]
+fn sigterm_ends_dev_while_the_signal_can_not_be_written() {
+    let folder = testkit::process::Folder::new("dev-test").expect("a folder");
+    let faults = "send EINTR 1.0 family=unix after=1000; write EINTR 1.0 family=unix after=1000";
+    let faults = SystemCallFaults { rules: faults.into(), seed: 1 };
+    let mut command = Command::new(env!("CARGO_BIN_EXE_trestlectl"));
+    command.args(["dev", "--proxies", "1", "--nodes", "2", "--port", "0"]).env("TMPDIR", &folder.0);
+    faults.apply(&mut command);
+    let started = Instant::now();
+    let mut child = command.stdout(Stdio::null()).spawn().expect("it starts");
+    while processes_using(&folder.0) == 0 || started.elapsed() < Duration::from_millis(1_500) {
+        assert!(started.elapsed() < PATIENCE, "no proxy starts");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    signal(&child, "-TERM");
+    let signalled = Instant::now();
+    while child.try_wait().expect("a child").is_none() {
+        if signalled.elapsed() > PATIENCE {
+            child.kill().expect("killed");
+            panic!("it does not end");
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert_eq!(processes_using(&folder.0), 0);
+}
+
 #[test]
 fn sigint_during_start_leaves_no_processes_or_files_behind() {
     let folder = testkit::process::Folder::new("dev-test").expect("a folder");
