Log signals, leaving nodes and failed calls; count calls to discovery by result

Change: lines for each signal, for each list that has nodes leave (its version, the first four names with their states) and for the end of a series of failed calls (how many, how long). The control endpoint's status has list.calls: answered, refused, answers_lost, not_made, silent.

Result: the_log_tells_of_failed_calls_leaving_nodes_and_signals passes.

--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -264,6 +264,24 @@
     pub boxes: usize,
     /// The number of usable boxes.
     pub usable: usize,
+    /// Calls to discovery by their result.
+    #[serde(default)]
+    pub calls: DiscoveryCalls,
+}
+
+/// Calls to discovery since the start, by their result.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq, Eq, Default)]
+pub struct DiscoveryCalls {
+    /// Answered with a list.
+    pub answered: u64,
+    /// Discovery could not be reached, or turned the call away.
+    pub refused: u64,
+    /// Discovery had the call, and no usable answer could be read.
+    pub answers_lost: u64,
+    /// This machine could not make the call.
+    pub not_made: u64,
+    /// Replaced by another call, as nothing had come.
+    pub silent: u64,
 }
 
 /// Counters since the start.
--- a/crates/proxy/benches/addresses.rs
+++ b/crates/proxy/benches/addresses.rs
@@ -46,7 +46,7 @@
     /// Runs a load and asserts the invariants on its record.
     fn play(&self, rate: f64, writes: f64, span: Duration) -> Vec<AttemptRecord> {
         let targets = self.proxies.iter().enumerate();
-        let targets = targets.map(|(proxy, p)| Target { proxy, address: p.address }).collect();
+        let targets = targets.map(|(proxy, p)| Target::new(proxy, p.address)).collect();
         let mut load = Load::new(rate, targets);
         load.writes = writes;
         let load = self.world.load(load);
--- a/crates/proxy/benches/resp3.rs
+++ b/crates/proxy/benches/resp3.rs
@@ -220,7 +220,7 @@
         proxy
     };
     let proxies: Vec<Instance> = (0..3).map(start).collect();
-    let front = proxies.iter().enumerate().map(|(proxy, p)| Target { proxy, address: p.address }).collect();
+    let front = proxies.iter().enumerate().map(|(proxy, p)| Target::new(proxy, p.address)).collect();
     let span = Duration::from_secs(12);
     world.play(Script::random(seed, 8, 12, 3, span));
     let mut load = Load::new(300.0, front);
--- a/crates/proxy/src/boxes/node.rs
+++ b/crates/proxy/src/boxes/node.rs
@@ -126,15 +126,6 @@
     }
 }
 
-/// The name of a state in discovery.
-pub fn state_name(state: ServerState) -> &'static str {
-    match state {
-        ServerState::Ready => "up",
-        ServerState::Draining => "draining",
-        ServerState::Removed => "removed",
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/proxy/src/boxes/status.rs
+++ b/crates/proxy/src/boxes/status.rs
@@ -1,8 +1,9 @@
 //! Status reports on cache nodes and the connections to them.
 
 use super::connection::Connection;
-use super::node::{state_name, Node};
+use super::node::Node;
 use super::{Boxes, MS};
+use crate::platform::discovery::state_name;
 use crate::platform::discovery::TopologyNames;
 use addresses::Address;
 use calicosaddle::api::{Nanos, ServerState};
--- a/crates/proxy/src/front/operate.rs
+++ b/crates/proxy/src/front/operate.rs
@@ -283,6 +283,7 @@
                 failing: self.discovery_failed,
                 boxes: counts.listed,
                 usable: counts.usable,
+                calls: self.discovery.calls(),
             },
             requests: self.requests.unanswered(),
             attempts: counts.attempts,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -303,10 +303,12 @@
     fn handle_signals(&mut self) {
         if self.signals.take_terminate() {
             self.event_loop.update_now();
+            eprintln!("signal: SIGTERM");
             self.handle_sigterm();
         }
         if self.signals.take_hangup() {
             self.event_loop.update_now();
+            eprintln!("signal: SIGHUP");
             self.reload();
         }
     }
@@ -425,6 +427,9 @@
             None => {}
             Some(PollResult::Update(update)) => {
                 self.discovery_failed = false;
+                if let Some(leaving) = update.describe_leaving() {
+                    eprintln!("discovery: version {}, {leaving}", update.version);
+                }
                 let kind = if update.full { ListKind::Full } else { ListKind::Delta };
                 let entries = self.apply_list(update);
                 self.pending_events.push_back(Event::ServerList { kind, entries });
--- a/crates/proxy/src/platform/discovery/list.rs
+++ b/crates/proxy/src/platform/discovery/list.rs
@@ -41,6 +41,21 @@
     pub hosts: Vec<Host>,
 }
 
+/// The number of nodes that are named in a log line.
+const MAX_LOGGED_NODES: usize = 4;
+
+impl ListUpdate {
+    /// The nodes in it that are to get nothing new, as a log line: their number, and the names and states of the first.
+    pub fn describe_leaving(&self) -> Option<String> {
+        let leaving = || self.hosts.iter().filter(|host| host.entry.state != ServerState::Ready);
+        let count = leaving().count();
+        let name = |host: &Host| format!("{} {}", host.name, state_name(host.entry.state));
+        let named: Vec<String> = leaving().take(MAX_LOGGED_NODES).map(name).collect();
+        let more = if count > named.len() { ", ..." } else { "" };
+        (count > 0).then(|| format!("{count} leaving: {}{more}", named.join(", ")))
+    }
+}
+
 /// Why a list could not be obtained.
 #[derive(Debug, PartialEq, Eq)]
 pub enum ListError {
@@ -82,6 +97,15 @@
     Ok(ListUpdate { version, full, hosts })
 }
 
+/// The name of a state in discovery.
+pub fn state_name(state: ServerState) -> &'static str {
+    match state {
+        ServerState::Ready => "up",
+        ServerState::Draining => "draining",
+        ServerState::Removed => "removed",
+    }
+}
+
 fn read_host(json: &Value, names: &TopologyNames) -> Result<Host, ListError> {
     let name = json["host"].as_str().filter(|name| !name.is_empty()).ok_or(ListError::Field("host"))?;
     let state = match json["health"].as_str() {
--- a/crates/proxy/src/platform/discovery/mod.rs
+++ b/crates/proxy/src/platform/discovery/mod.rs
@@ -11,10 +11,11 @@
 
 #[cfg(test)]
 pub use list::Host;
-pub use list::{read_list, ListError, ListUpdate, TopologyNames};
+pub use list::{read_list, state_name, ListError, ListUpdate, TopologyNames};
 
 use super::config::Config;
 use calicosaddle::api::Nanos;
+use control::message::DiscoveryCalls;
 use freshness::{PollConfig, PollScheduler};
 use mio::{Registry, Token};
 use poll::{Call, Poll, PollFailure};
@@ -49,6 +50,10 @@
     started_at: Nanos,
     /// When discovery last responded with a valid list.
     updated_at: Option<Nanos>,
+    /// Calls by their result.
+    calls: DiscoveryCalls,
+    /// Calls that have failed since the last answer, and when the first of them did.
+    failures: Option<(u64, Nanos)>,
     /// Until when the list did not have the changes of the last response.
     unlisted_until: Option<Nanos>,
     tokens: [Token; MAX_POLLS],
@@ -69,6 +74,8 @@
             version: ListVersion::configured(version),
             started_at: now,
             updated_at: None,
+            calls: DiscoveryCalls::default(),
+            failures: None,
             unlisted_until: None,
             tokens,
             max_body: ((config.memory_mb << 20) / BODY_MEMORY_DIVISOR).max(MIN_BODY_LIMIT_BYTES as u64)
@@ -96,6 +103,11 @@
         (self.version.get(), self.updated_at)
     }
 
+    /// Calls since the start, by their result.
+    pub fn calls(&self) -> DiscoveryCalls {
+        self.calls
+    }
+
     /// Until when the list did not have the changes of the last response; `None` if that is not known.
     pub fn unlisted_until(&self) -> Option<Nanos> {
         self.unlisted_until
@@ -118,6 +130,7 @@
         if !self.scheduler.start_if_due(now) {
             return None;
         }
+        self.calls.silent += u64::from(self.latest.is_some());
         self.start_poll(registry, None, now).err().map(PollResult::Failed)
     }
 
@@ -134,16 +147,21 @@
 
     /// Has the next poll scheduled after the failure of the latest one, and returns what was wrong.
     fn latest_failed(&mut self, failure: PollFailure, now: Nanos) -> ListError {
+        let (failed_before, since) = self.failures.unwrap_or((0, now));
+        self.failures = Some((failed_before + 1, since));
         match failure {
             PollFailure::NotMade(error) => {
+                self.calls.not_made += 1;
                 self.scheduler.call_not_made(now);
                 error
             }
             PollFailure::Refused(error) => {
+                self.calls.refused += 1;
                 self.scheduler.poll_failed(now);
                 error
             }
             PollFailure::AnswerLost { error, has_begun } => {
+                self.calls.answers_lost += 1;
                 self.scheduler.answer_lost(now, has_begun);
                 error
             }
@@ -183,6 +201,11 @@
             let elapsed_ms = now.saturating_sub(self.started_at) / MS;
             eprintln!("discovery: first list {elapsed_ms} ms after the start, version {}", update.version);
         }
+        self.calls.answered += 1;
+        if let Some((failed, since)) = self.failures.take() {
+            let elapsed_ms = now.saturating_sub(since) / MS;
+            eprintln!("discovery: answered after {failed} failed calls in {elapsed_ms} ms");
+        }
         if self.version.get().is_some_and(|current| update.version < current) {
             // What earlier calls still bring is of the versions before.
             eprintln!("discovery: versions begin again at {}", update.version);
--- a/crates/proxy/tests/freshness.rs
+++ b/crates/proxy/tests/freshness.rs
@@ -240,3 +240,25 @@
     }
     proxies.iter().for_each(|proxy| assert_reads_go_to_first_node(proxy, &nodes));
 }
+
+/// Guards against a run whose log does not tell what a process was notified of, and of which signals.
+#[test]
+fn the_log_tells_of_failed_calls_leaving_nodes_and_signals() {
+    let (nodes, discovery) = (Server::many(2), Server::start());
+    let proxy = start_proxy(&nodes, &discovery, "subscribe");
+    accept_call(&discovery).0.reset();
+    accept_call(&discovery).0.list(&list(42, true, &draining_hosts(&nodes)));
+    let _watch = accept_call(&discovery);
+    proxy.signal("-HUP");
+    // The reload is logged behind the signal.
+    std::thread::sleep(Duration::from_millis(500));
+    let log = proxy.log();
+    for line in [
+        "discovery: answered after 1 failed calls in ",
+        "discovery: version 42, 1 leaving: s-1 draining",
+        "signal: SIGHUP",
+        "reload: discovery stays at ",
+    ] {
+        assert!(log.contains(line), "no line {line:?} in:\n{log}");
+    }
+}
--- a/crates/proxy/tests/world.rs
+++ b/crates/proxy/tests/world.rs
@@ -39,7 +39,7 @@
 
 impl Setting {
     fn targets(&self) -> Vec<Target> {
-        self.proxies.iter().enumerate().map(|(proxy, p)| Target { proxy, address: p.address }).collect()
+        self.proxies.iter().enumerate().map(|(proxy, p)| Target::new(proxy, p.address)).collect()
     }
 
     /// Asserts the invariants: no request is lost or answered twice, no write takes effect twice, and no box gets a new
