--- a/crates/agent/benches/fleet.rs
+++ b/crates/agent/benches/fleet.rs
@@ -209,7 +209,7 @@
             let program = testkit::program("trestlesill");
             let mut proxy = Instance::start(&program, &folder.0, &config, operator).expect("started");
             proxy.ready(STEP_TIMEOUT).expect("ready");
-            let load = world.load(Load::new(800.0, vec![Target { proxy: 0, address: proxy.address }]));
+            let load = world.load(Load::new(800.0, vec![Target::new(0, proxy.address)]));
             std::thread::sleep(Duration::from_secs(1));
             let stop = Arc::new(AtomicBool::new(false));
             let count = Arc::new(AtomicU64::new(0));
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -26,7 +26,7 @@
     /// How long the load of each run lasts, in seconds.
     #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(2..=3_600))]
     seconds: u64,
-    /// Play only these kinds of trouble: node, crowd, leavers, repeated-ids, system-calls, restart, kill.
+    /// Play only these kinds of trouble: node, crowd, leavers, repeated-ids, system-calls, restart, move, kill.
     #[arg(long, value_delimiter = ',')]
     only: Vec<String>,
     /// Shrink a plan that breaks a rule to the fewest troubles that break it three times of three.
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -63,6 +63,47 @@
     Cut,
     /// Discovery is down.
     NoDiscovery,
+    /// Two of three answers of discovery that tell of a change are written and lost.
+    LostLists,
+}
+
+/// The signals of a planned restart, one after the other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum SignalSeries {
+    /// SIGTERM.
+    #[default]
+    Term,
+    /// SIGHUP, then SIGTERM.
+    HupTerm,
+    /// SIGTERM twice.
+    TermTerm,
+    /// SIGTERM, then SIGHUP.
+    TermHup,
+    /// SIGHUP twice, then SIGTERM.
+    HupHupTerm,
+}
+
+impl SignalSeries {
+    /// All series.
+    const ALL: [SignalSeries; 5] = [
+        SignalSeries::Term,
+        SignalSeries::HupTerm,
+        SignalSeries::TermTerm,
+        SignalSeries::TermHup,
+        SignalSeries::HupHupTerm,
+    ];
+
+    /// The signals, as options of `kill`.
+    pub fn signals(self) -> &'static [&'static str] {
+        match self {
+            SignalSeries::Term => &["-TERM"],
+            SignalSeries::HupTerm => &["-HUP", "-TERM"],
+            SignalSeries::TermTerm => &["-TERM", "-TERM"],
+            SignalSeries::TermHup => &["-TERM", "-HUP"],
+            SignalSeries::HupHupTerm => &["-HUP", "-HUP", "-TERM"],
+        }
+    }
 }
 
 /// One trouble. Times are milliseconds since the start of the load.
@@ -108,12 +149,23 @@
         /// The rules.
         rules: String,
     },
-    /// A planned restart: SIGTERM, and SIGKILL at the earliest moment that the platform names.
+    /// A planned restart: SIGTERM, and SIGKILL at the earliest moment that the platform names. Clients open new connections for 0.3 s
+    /// and use open ones until the end.
     Restart {
         /// When SIGTERM comes.
         at_ms: u64,
         /// The number of the proxy.
         proxy: usize,
+        /// The signals that come.
+        #[serde(default)]
+        signals: SignalSeries,
+    },
+    /// A proxy is told of another discovery: a new configuration, and SIGHUP. The one before resets connections from then on.
+    Move {
+        /// When SIGHUP comes.
+        at_ms: u64,
+        /// The number of the proxy.
+        proxy: usize,
     },
     /// SIGKILL, and a new process.
     Kill {
@@ -134,22 +186,27 @@
             Trouble::RepeatedIds { .. } => "repeated-ids",
             Trouble::SystemCalls { .. } => "system-calls",
             Trouble::Restart { .. } => "restart",
+            Trouble::Move { .. } => "move",
             Trouble::Kill { .. } => "kill",
         }
     }
 
     /// The names of all kinds.
-    pub const NAMES: [&'static str; 7] =
-        ["node", "crowd", "leavers", "repeated-ids", "system-calls", "restart", "kill"];
+    pub const NAMES: [&'static str; 8] =
+        ["node", "crowd", "leavers", "repeated-ids", "system-calls", "restart", "move", "kill"];
 }
 
-/// Rules of faults of system calls, one of which is drawn.
-const SYSTEM_CALL_RULES: [&str; 6] = [
+/// Rules of faults of system calls, one of which is drawn. `DISCOVERY` stands for the port of a proxy's discovery.
+const SYSTEM_CALL_RULES: [&str; 10] = [
     "recv short 0.3; send short 0.3",
     "socket ENOBUFS 0.1 after=500; connect EADDRNOTAVAIL 0.1",
     "send ENOBUFS 0.02; recv ENOMEM 0.02",
     "accept ENFILE 0.2; accept ECONNABORTED 0.1; epoll_wait EINTR 0.2",
     "clock step 3600 after=2000; recv short 0.1",
+    "clock step -3600 after=3000; recv ETIMEDOUT 0.3 port=DISCOVERY",
+    "clock step 5 after=1000; clock step -5 after=4000; send EINTR 1.0 family=unix after=500",
+    "recv ECONNRESET 0.5 port=DISCOVERY; connect EADDRNOTAVAIL 0.1 after=500",
+    "send ENOBUFS 0.05; send ENOBUFS 1.0 family=unix after=500; clock step -3600",
     "recv short 0.1; send short 0.1; socket ENFILE 0.05 after=500; send EINTR 0.05",
 ];
 
@@ -183,18 +240,19 @@
         let span_ms = self.seconds * 1_000;
         let at_ms = random.u64(..span_ms * 6 / 10 + 1);
         let proxy = random.usize(..self.proxies);
-        match random.u8(..12) {
+        match random.u8(..13) {
             0..=4 => Trouble::Node {
                 at_ms,
                 lasts_ms: span_ms / 10 + random.u64(..span_ms / 4 + 1),
                 node: random.usize(..self.nodes),
-                trouble: match random.u8(..7) {
+                trouble: match random.u8(..8) {
                     0 => NodeTrouble::Silent,
                     1 => NodeTrouble::Down,
                     2 => NodeTrouble::Resets(0.1 + 0.4 * random.f64()),
                     3 => NodeTrouble::Spoils(0.1 + 0.4 * random.f64()),
                     4 => NodeTrouble::Drains,
                     5 => NodeTrouble::Cut,
+                    6 => NodeTrouble::LostLists,
                     _ => NodeTrouble::NoDiscovery,
                 },
             },
@@ -215,7 +273,11 @@
             },
             8 => Trouble::RepeatedIds { rate: 2.0 + 10.0 * random.f64() },
             9 => Trouble::SystemCalls { rules: random.choice(SYSTEM_CALL_RULES).unwrap_or_default().into() },
-            10 => Trouble::Restart { at_ms, proxy },
+            10 => {
+                let signals = random.choice(SignalSeries::ALL).unwrap_or_default();
+                Trouble::Restart { at_ms, proxy, signals }
+            }
+            11 => Trouble::Move { at_ms, proxy },
             _ => Trouble::Kill { at_ms, proxy },
         }
     }
--- a/crates/lab/src/soak/play.rs
+++ b/crates/lab/src/soak/play.rs
@@ -1,7 +1,7 @@
 //! Plays a plan: proxies as real processes before the stand-ins of `testkit`, and judges it by the records of clients and nodes.
 
 use super::hostile::{self, Arena};
-use super::plan::{NodeTrouble, Plan, Trouble};
+use super::plan::{NodeTrouble, Plan, SignalSeries, Trouble};
 use crate::Failure;
 use serde::Serialize;
 use serde_json::json;
@@ -60,7 +60,8 @@
 /// A step in the life of a proxy.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    Terminate(usize),
+    Terminate(usize, SignalSeries),
+    Move(usize),
     LeaveFront(usize),
     EndTerminated(usize),
     Kill(usize),
@@ -74,7 +75,9 @@
     proxies: Vec<Instance>,
     /// Whether each proxy is expected to run.
     running: Vec<bool>,
-    /// Whether clients connect to each proxy.
+    /// Whether each proxy has been told to end, and has not been killed yet.
+    terminating: Vec<bool>,
+    /// Whether clients open new connections to each proxy.
     in_front: Vec<bool>,
     /// Proxies that were killed.
     killed: Vec<usize>,
@@ -138,6 +141,7 @@
         Trouble::Node { .. }
         | Trouble::SystemCalls { .. }
         | Trouble::Restart { .. }
+        | Trouble::Move { .. }
         | Trouble::Kill { .. } => {}
     }
 }
@@ -155,6 +159,7 @@
             NodeTrouble::Drains => Fault::Drain(node),
             NodeTrouble::Cut => Fault::Cut(node % 3),
             NodeTrouble::NoDiscovery => Fault::Discovery(Mode::Down),
+            NodeTrouble::LostLists => Fault::Discovery(Mode::LosesAnswers),
         };
         script = script.then(milliseconds(at_ms), milliseconds(lasts_ms), fault);
     }
@@ -166,14 +171,15 @@
     let mut steps = Vec::new();
     for trouble in &plan.troubles {
         match *trouble {
-            Trouble::Restart { at_ms, proxy } => {
+            Trouble::Restart { at_ms, proxy, signals } => {
                 let at = milliseconds(at_ms);
                 let end = at + LONGEST_DEADLINE + KILL_GRACE;
-                steps.push((at, Step::Terminate(proxy)));
+                steps.push((at, Step::Terminate(proxy, signals)));
                 steps.push((at + NEW_CONNECTIONS, Step::LeaveFront(proxy)));
                 steps.push((end, Step::EndTerminated(proxy)));
                 steps.push((end, Step::Start(proxy)));
             }
+            Trouble::Move { at_ms, proxy } => steps.push((milliseconds(at_ms), Step::Move(proxy))),
             Trouble::Kill { at_ms, proxy } => {
                 let at = milliseconds(at_ms);
                 steps.push((at, Step::Kill(proxy)));
@@ -195,12 +201,14 @@
             _ => None,
         });
         let rules = rules.collect::<Vec<_>>().join(";");
-        let faults = (!rules.is_empty()).then_some(SystemCallFaults { rules, seed: plan.seed });
         let mut proxies = Vec::new();
         for number in 0..plan.proxies {
+            let port = world.discovery.address(number).port().to_string();
+            let rules = rules.replace("DISCOVERY", &port);
+            let faults = (!rules.is_empty()).then_some(SystemCallFaults { rules, seed: plan.seed });
             let config = configuration(&world, plan, number, free_port().map_err(io_failure)?);
-            let started = Instance::start_with_faults(program, &folder.0, &config, None, faults.clone())
-                .map_err(io_failure)?;
+            let started =
+                Instance::start_with_faults(program, &folder.0, &config, None, faults).map_err(io_failure)?;
             proxies.push(started);
         }
         for proxy in &mut proxies {
@@ -209,6 +217,7 @@
         Ok(Run {
             plan: plan.clone(),
             running: vec![true; proxies.len()],
+            terminating: vec![false; proxies.len()],
             in_front: vec![true; proxies.len()],
             killed: Vec::new(),
             known: (0..plan.proxies).map(|number| world.known(number)).collect(),
@@ -224,9 +233,16 @@
         })
     }
 
+    /// The proxies that clients use. One that is ending is used over open connections until it is killed.
     fn targets(&self) -> Vec<Target> {
-        let proxies = self.proxies.iter().enumerate().filter(|(number, _)| self.in_front[*number]);
-        proxies.map(|(proxy, instance)| Target { proxy, address: instance.address }).collect()
+        let has_process = |number: usize| self.running[number] || self.terminating[number];
+        let proxies = self.proxies.iter().enumerate().filter(|(number, _)| has_process(*number));
+        let target = |(proxy, instance): (usize, &Instance)| Target {
+            proxy,
+            address: instance.address,
+            takes_new_connections: self.in_front[proxy],
+        };
+        proxies.map(target).collect()
     }
 
     /// Follows the steps until the load's time is over, and looks at the processes meanwhile.
@@ -246,15 +262,24 @@
 
     fn carry_out(&mut self, step: Step) -> Result<(), Failure> {
         match step {
-            Step::Terminate(number) if self.running[number] => {
-                self.running[number] = false;
-                self.proxies[number].signal("-TERM").map_err(io_failure)
+            Step::Terminate(number, series) if self.running[number] => {
+                (self.running[number], self.terminating[number]) = (false, true);
+                let mut signals = series.signals().iter();
+                signals.try_for_each(|signal| self.proxies[number].signal(signal)).map_err(io_failure)
+            }
+            Step::Move(number) if self.running[number] => {
+                self.world.discovery.move_proxy(number);
+                self.write_configuration(number)?;
+                self.proxies[number].signal("-HUP").map_err(io_failure)
             }
             Step::LeaveFront(number) => {
                 self.in_front[number] = self.running[number];
                 Ok(())
             }
-            Step::EndTerminated(number) if !self.running[number] => self.end_terminated(number),
+            Step::EndTerminated(number) if !self.running[number] => {
+                self.terminating[number] = false;
+                self.end_terminated(number)
+            }
             Step::Kill(number) if self.running[number] => {
                 (self.running[number], self.in_front[number]) = (false, false);
                 self.killed.push(number);
@@ -262,22 +287,31 @@
                 child.kill().and_then(|()| child.wait()).map(|_| ()).map_err(io_failure)
             }
             Step::Start(number) if !self.running[number] => {
-                let address = self.proxies[number].address;
-                let mut config = configuration(&self.world, &self.plan, number, address);
-                config["known"] = self.known[number].clone();
-                let path = self.folder.0.join(format!("{}.json", self.proxies[number].name));
-                std::fs::write(path, config.to_string()).map_err(io_failure)?;
-                self.world.record_start(number, &config["known"]);
+                self.write_configuration(number)?;
+                self.world.record_start(number, &self.known[number]);
                 self.proxies[number].start_again().map_err(io_failure)?;
                 self.proxies[number].ready(READY_TIMEOUT).map_err(io_failure)?;
                 (self.running[number], self.in_front[number]) = (true, true);
                 Ok(())
             }
             // Another step has done it, as the steps of two troubles may overlap.
-            Step::Terminate(_) | Step::EndTerminated(_) | Step::Kill(_) | Step::Start(_) => Ok(()),
+            Step::Terminate(..) | Step::Move(_) | Step::EndTerminated(_) | Step::Kill(_) | Step::Start(_) => {
+                Ok(())
+            }
         }
     }
 
+    /// Writes the configuration that a proxy reads at its next start or SIGHUP.
+    fn write_configuration(&self, number: usize) -> Result<(), Failure> {
+        let address = self.proxies[number].address;
+        let mut config = configuration(&self.world, &self.plan, number, address);
+        config["known"] = self.known[number].clone();
+        let path = self.folder.0.join(format!("{}.json", self.proxies[number].name));
+        let next = path.with_extension("next");
+        std::fs::write(&next, config.to_string()).map_err(io_failure)?;
+        std::fs::rename(next, path).map_err(io_failure)
+    }
+
     /// Checks how a process has ended after SIGTERM, and kills it if it has not.
     fn end_terminated(&mut self, number: usize) -> Result<(), Failure> {
         let child = &mut self.proxies[number].child;
--- a/crates/lab/src/sockets.rs
+++ b/crates/lab/src/sockets.rs
@@ -208,7 +208,7 @@
     let mut up = vec![true; t.proxies];
     let front = |up: &[bool], proxies: &[Instance]| -> Vec<Target> {
         let all = proxies.iter().enumerate().filter(|(i, _)| up[*i]);
-        all.map(|(proxy, p)| Target { proxy, address: p.address }).collect()
+        all.map(|(proxy, p)| Target::new(proxy, p.address)).collect()
     };
     let mut load = Load::new(a.rate, front(&up, &proxies));
     load.retries = a.tries - 1;
--- a/crates/testkit/src/agent.rs
+++ b/crates/testkit/src/agent.rs
@@ -206,7 +206,7 @@
     /// Returns the instances as targets of a client load.
     pub fn front(&self) -> Vec<Target> {
         let number = |name: &str| name[1..].parse().unwrap_or(0);
-        self.addresses.iter().map(|(n, a)| Target { proxy: number(n), address: *a }).collect()
+        self.addresses.iter().map(|(n, a)| Target::new(number(n), *a)).collect()
     }
 
     /// Finds the processes of the agent's instances by the environment variable that the agent sets; returns names and
--- a/crates/testkit/src/world/clients.rs
+++ b/crates/testkit/src/world/clients.rs
@@ -88,6 +88,15 @@
     pub proxy: usize,
     /// Listen address.
     pub address: SocketAddr,
+    /// Whether clients open new connections to it. Otherwise they use those that are open.
+    pub takes_new_connections: bool,
+}
+
+impl Target {
+    /// A proxy that clients open connections to.
+    pub fn new(proxy: usize, address: SocketAddr) -> Self {
+        Target { proxy, address, takes_new_connections: true }
+    }
 }
 
 /// A client load.
@@ -313,6 +322,9 @@
         for target in front.iter().chain(front.iter()) {
             let kept = if fresh { None } else { take_idle_connection(pool, (target.proxy, protocol)) };
             let reused = kept.is_some();
+            if !reused && !target.takes_new_connections {
+                continue;
+            }
             let stream = match kept {
                 Some(stream) => stream,
                 None => match TcpStream::connect(target.address).await {
--- a/crates/testkit/src/world/discovery.rs
+++ b/crates/testkit/src/world/discovery.rs
@@ -5,6 +5,7 @@
 use super::{listeners, lock, Clock};
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -44,6 +45,19 @@
     Down,
     /// Accepts requests and does not answer.
     Silent,
+    /// Two of three answers that tell of a change are written and lost: the connection is reset.
+    LosesAnswers,
+}
+
+/// A state of a box, and when it was published.
+#[derive(Clone, Debug)]
+pub struct Published {
+    /// When it was published.
+    pub at: Duration,
+    /// Name of the box.
+    pub name: String,
+    /// The state.
+    pub health: Health,
 }
 
 /// A list that was sent to a proxy.
@@ -84,11 +98,18 @@
     version: watch::Sender<u64>,
     mode: watch::Sender<Mode>,
     told: Mutex<Vec<SentList>>,
+    published: Mutex<Vec<Published>>,
+    /// When each proxy was told of its second address; the first one resets connections from then on.
+    moved_at: Mutex<Vec<Option<Duration>>>,
+    /// Answers with changes that were lost since one arrived.
+    lost_in_a_row: AtomicU32,
 }
 
 impl Discovery {
     pub(super) fn new(clock: Clock, proxies: usize, zones: Vec<String>, lag: Duration) -> Self {
-        let (listeners, addresses) = listeners(proxies.max(1));
+        let proxies = proxies.max(1);
+        // Each proxy has a second address, to which it may be moved.
+        let (listeners, addresses) = listeners(2 * proxies);
         Discovery {
             clock,
             zones,
@@ -99,12 +120,37 @@
             version: watch::Sender::new(1),
             mode: watch::Sender::new(Mode::Well),
             told: Mutex::default(),
+            published: Mutex::default(),
+            moved_at: Mutex::new(vec![None; proxies]),
+            lost_in_a_row: AtomicU32::new(0),
         }
     }
 
-    /// Address for proxy number `proxy`.
+    /// The number of proxies that have an address.
+    fn proxies(&self) -> usize {
+        self.addresses.len() / 2
+    }
+
+    /// Address for proxy number `proxy`: the second one once it has moved.
     pub fn address(&self, proxy: usize) -> SocketAddr {
-        self.addresses[proxy % self.addresses.len()]
+        let proxy = proxy % self.proxies();
+        let has_moved = lock(&self.moved_at)[proxy].is_some();
+        self.addresses[proxy + if has_moved { self.proxies() } else { 0 }]
+    }
+
+    /// Moves a proxy to its second address, of which it has to be told.
+    pub fn move_proxy(&self, proxy: usize) {
+        lock(&self.moved_at)[proxy].get_or_insert(self.clock.now());
+    }
+
+    /// When a proxy was moved.
+    pub fn moved_at(&self, proxy: usize) -> Option<Duration> {
+        lock(&self.moved_at).get(proxy).copied().flatten()
+    }
+
+    /// All states that were published, in order.
+    pub fn published(&self) -> Vec<Published> {
+        lock(&self.published).clone()
     }
 
     /// Sets the fault mode.
@@ -147,6 +193,7 @@
             (entry.health, entry.version) = (health, version);
         }
         drop(entries);
+        lock(&self.published).push(Published { at: self.clock.now(), name: name.to_owned(), health });
         self.version.send_replace(version);
     }
 
@@ -202,12 +249,17 @@
     }
 
     pub(super) fn serve(self: Arc<Self>) {
-        for (proxy, listener) in std::mem::take(&mut *lock(&self.listeners)).into_iter().enumerate() {
+        for (number, listener) in std::mem::take(&mut *lock(&self.listeners)).into_iter().enumerate() {
             let this = self.clone();
+            let (proxy, is_first) = (number % self.proxies(), number < self.proxies());
             spawn_local(async move {
                 let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
                 while let Ok((stream, _)) = listener.accept().await {
                     let this = this.clone();
+                    if is_first && this.moved_at(proxy).is_some() {
+                        reset(&stream);
+                        continue;
+                    }
                     spawn_local(async move {
                         let _ = this.handle_request(stream, proxy).await;
                     });
@@ -241,9 +293,9 @@
             query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
         };
         let mut mode = self.mode.subscribe();
-        let is_faulty = |mode: &Mode| *mode != Mode::Well;
+        let is_faulty = |mode: &Mode| !matches!(mode, Mode::Well | Mode::LosesAnswers);
         let since = number("since");
-        let well = *self.mode.borrow() == Mode::Well;
+        let well = !is_faulty(&self.mode.borrow());
         if let (Some(since), true) = (since, well) {
             let wait = Duration::from_millis(number("timeout_ms").unwrap_or(0).min(60_000));
             let mut version = self.version.subscribe();
@@ -255,10 +307,10 @@
         }
         let mode = *self.mode.borrow();
         match mode {
-            Mode::Well => {}
+            Mode::Well | Mode::LosesAnswers => {}
             Mode::Unavailable => return respond(&mut stream, "503 Service Unavailable", "").await,
             Mode::Down => {
-                let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                reset(&stream);
                 return Ok(());
             }
             Mode::Silent => {
@@ -282,9 +334,27 @@
         let hosts =
             hosts.iter().map(|h| (h["host"].as_str().unwrap_or_default().to_owned(), health(h))).collect();
         let version = list["seq"].as_u64().unwrap_or(0);
+        let tells_of_change = list["hosts"].as_array().is_some_and(|hosts| !hosts.is_empty());
         lock(&self.told).push(SentList { at: self.clock.now(), proxy, version, hosts });
+        if mode == Mode::LosesAnswers && tells_of_change && self.loses_next() {
+            reset(&stream);
+            return Ok(());
+        }
         respond(&mut stream, "200 OK", &list.to_string()).await
     }
+
+    /// Whether the next answer with a change is lost, in [`Mode::LosesAnswers`].
+    fn loses_next(&self) -> bool {
+        const LOST_IN_A_ROW: u32 = 2;
+        let arrives =
+            self.lost_in_a_row.fetch_add(1, Ordering::Relaxed) % (LOST_IN_A_ROW + 1) == LOST_IN_A_ROW;
+        !arrives
+    }
+}
+
+/// Has a connection reset when it is closed.
+fn reset(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
 async fn respond(stream: &mut TcpStream, status: &str, body: &str) -> std::io::Result<()> {
--- a/crates/testkit/src/world/mod.rs
+++ b/crates/testkit/src/world/mod.rs
@@ -18,7 +18,7 @@
 
 pub use boxes::{BoxConfig, CacheBox, Seen};
 pub use clients::{AttemptRecord, End, Load, Plan, Target};
-pub use discovery::{Discovery, Health, Mode, SentList};
+pub use discovery::{Discovery, Health, Mode, Published, SentList};
 pub use doors::{Door, Entrance, ListenerFault};
 pub use faults::{Fault, Script, Step};
 pub use network::Network;
@@ -35,6 +35,9 @@
 /// sockets.
 const DRAIN_GRACE: Duration = Duration::from_millis(550);
 
+/// The changes of another discovery count as notified this long after SIGHUP.
+const NOTIFIED_AFTER_MOVE: Duration = Duration::from_secs(4);
+
 /// How much more than what is left to a client a box may be told.
 const TOLD_SLACK: Duration = Duration::from_millis(150);
 /// How long after a client's departure an attempt of its request may begin, with the protocol's tolerance.
@@ -339,7 +342,7 @@
         let sent: Vec<SentList> = sent.collect();
         let known = life.draining.contains(name).then_some(life.from);
         let told = sent.iter().find(|list| has(list, Health::Draining)).map(|list| list.at);
-        let notified = known.or(told)?;
+        let notified = known.or_else(|| told.into_iter().chain(self.moved_and_notified(name, life)).min())?;
         let back = sent.iter().find(|list| list.at > notified && has(list, Health::Up)).map(|list| list.at);
         let late = one.record().into_iter().find(|seen| {
             by_id.get(seen.id.as_str()) == Some(&life.proxy)
@@ -351,6 +354,16 @@
         Some(Broken { rule: "drain", id: Some(late.id), what })
     }
 
+    /// When a drain that was published counts as notified to a process whose proxy was moved to another discovery.
+    fn moved_and_notified(&self, name: &str, life: &ProcessLife) -> Option<Duration> {
+        let moved_at =
+            self.discovery.moved_at(life.proxy).filter(|at| *at >= life.from && *at < life.until)?;
+        let published = self.discovery.published();
+        let is_drain = |one: &&Published| one.name == name && one.health == Health::Draining;
+        let drained_at = published.iter().filter(is_drain).map(|one| one.at).find(|at| *at > moved_at)?;
+        Some(drained_at.max(moved_at + NOTIFIED_AFTER_MOVE))
+    }
+
     /// Returns the attempts that stated more time to a box than the client had left. Not for runs with cuts of the network,
     /// which hold commands up on their way.
     pub fn overstated(&self, load: &Load) -> Vec<Broken> {
