--- a/crates/freshness/src/lib.rs
+++ b/crates/freshness/src/lib.rs
@@ -69,7 +69,7 @@
 /// The longest backoff is at least this, however short the maximum poll interval is.
 const MIN_LONGEST_BACKOFF: Nanos = SECOND;
 /// Calls that are repeated at once, before backoffs begin, when their answers were lost: what was in them counts as notified.
-const MAX_PROMPT_REPEATS: u32 = 2;
+const MAX_PROMPT_REPEATS: u32 = 4;
 /// Each of these calls begins within this part of the drain grace.
 const PROMPT_REPEATS_PER_DRAIN_GRACE: Nanos = 5;
 /// The delay after an error of this machine, until a call can be tried that discovery has seen nothing of.
