--- a/crates/freshness/tests/lost_answers.rs
+++ b/crates/freshness/tests/lost_answers.rs
@@ -40,7 +40,7 @@
     (scheduler, now + 5 * MS)
 }
 
-/// Reports the result of a call that has just begun, so long after that; returns whether it was answered.
+/// Reports the result of a call to the scheduler at this time; returns whether the call was answered.
 fn report(scheduler: &mut PollScheduler, result: CallResult, at: Nanos) -> bool {
     match result {
         CallResult::Answered => return scheduler.list_received(at, true).is_some(),
@@ -125,7 +125,7 @@
     }
 
     /// The same behind SIGHUP: whatever becomes of the calls, another one begins before the new discovery's list counts as notified,
-    /// after half of the time that is left at the most.
+    /// after at most half of the time that is left.
     #[test]
     fn errors_behind_a_move_leave_time_for_a_call_before_its_list_counts_as_notified(
         pushed: bool, proxies in 1u32..=900, index in 0u32..900, seed: u64,
